--- /dev/null
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -0,0 +1,93 @@
+package copperglade.app
+
+import copperglade.coordination.Controller
+import copperglade.coordination.Tuning
+import copperglade.protocol.BadSetting
+import copperglade.protocol.PlatformSettings
+import copperglade.transport.NettyEventLoop
+import copperglade.transport.NettyHttpCaller
+import copperglade.transport.NettyHttpServer
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Spec
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import kotlin.system.exitProcess
+import kotlin.time.Duration
+
+@Command(
+    name = "copperglade",
+    description = ["A cluster scheduler; this runs one controller until something ends it."],
+    mixinStandardHelpOptions = true,
+    versionProvider = Version::class,
+    subcommands = [Rehearsal::class],
+)
+class Main : Callable<Int> {
+    @Option(names = ["--config"], paramLabel = "FILE", description = ["The platform's settings (JSON); required."])
+    var config: Path? = null
+
+    @Option(names = ["--properties"], paramLabel = "FILE", description = ["The operators' own settings (Java properties)."])
+    var properties: Path? = null
+
+    @Spec
+    lateinit var spec: CommandSpec
+
+    override fun call(): Int {
+        val file = config ?: throw CommandLine.ParameterException(spec.commandLine(), "missing required option --config")
+        val settings = PlatformSettings.parse(Files.readAllBytes(file))
+        val tuning = properties?.let { OperatorProperties.read(it) } ?: Tuning()
+        run(settings, tuning)
+        Thread.currentThread().join()
+        return 0
+    }
+
+    companion object {
+        /** Starts a controller in this process; it goes on by itself. */
+        fun run(settings: PlatformSettings, tuning: Tuning) {
+            val loop = NettyEventLoop()
+            val controller = Controller(loop, NettyHttpCaller(loop.group), settings, tuning)
+            NettyHttpServer(loop.group, settings.socketLimit * USERS_PERCENT / 100, controller.clientHandler)
+                .listen(settings.clientListen)
+            NettyHttpServer(loop.group, settings.socketLimit * PEERS_PERCENT / 100, controller.clusterHandler)
+                .listen(settings.clusterListen)
+            loop.after(Duration.ZERO) { controller.start() }
+        }
+
+        private const val USERS_PERCENT = 70
+        private const val PEERS_PERCENT = 10
+    }
+}
+
+class Version : CommandLine.IVersionProvider {
+    override fun getVersion() = arrayOf("copperglade ${Main::class.java.`package`?.implementationVersion ?: "(not packaged)"}")
+}
+
+fun main(args: Array<String>) {
+    val level = logLevel(System.getenv("LOG_LEVEL"))
+    if (level == null) {
+        System.err.println("copperglade: LOG_LEVEL must be error, info or debug")
+        exitProcess(CommandLine.ExitCode.USAGE)
+    }
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    // Heap buffers only: the memory of the whole process is counted, and direct ones are freed late.
+    System.setProperty("io.netty.noPreferDirect", "true")
+    System.setProperty("io.netty.allocator.type", "unpooled")
+    System.setProperty("io.netty.leakDetection.level", "disabled")
+    val line = CommandLine(Main())
+    line.setExecutionExceptionHandler { fault, _, _ ->
+        if (fault !is BadSetting && fault !is IOException) throw fault
+        System.err.println("copperglade: ${if (fault is IOException) "can't read $fault" else fault.message}")
+        CommandLine.ExitCode.SOFTWARE
+    }
+    exitProcess(line.execute(*args))
+}
+
+private fun logLevel(asked: String?): String? = when (asked) {
+    null, "", "info" -> "info"
+    "error", "debug" -> asked
+    else -> null
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/app/OperatorProperties.kt
@@ -0,0 +1,73 @@
+package copperglade.app
+
+import copperglade.coordination.Tuning
+import copperglade.protocol.BadSetting
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Properties
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The operators' own settings, beyond the file that the platform hands over. Every key is checked. */
+object OperatorProperties {
+    private val KEYS = setOf(
+        "hold.limit.s",
+        "hold.margin.s",
+        "lead.hold.s",
+        "blocks.per-zone",
+        "straggler.margin",
+        "straggler.overrun",
+        "profiles.nearest",
+        "profiles.fitting-steps",
+        "profiles.fitting-rate",
+        "profiles.capacity",
+        "fleet.headroom",
+        "fleet.idle.s",
+    )
+
+    fun read(path: Path): Tuning {
+        val properties = Properties()
+        try {
+            Files.newBufferedReader(path).use(properties::load)
+        } catch (_: IllegalArgumentException) {
+            throw BadSetting("$path: not a properties file")
+        }
+        return parse(properties)
+    }
+
+    fun parse(properties: Properties): Tuning {
+        val unknown = properties.stringPropertyNames().filter { it !in KEYS }.sorted()
+        if (unknown.isNotEmpty()) throw BadSetting("unknown property ${unknown.first()}")
+        val reader = Reader(properties)
+        val usual = Tuning()
+        return Tuning(
+            holdLimit = reader.seconds("hold.limit.s", usual.holdLimit, 1.0..600.0),
+            holdMargin = reader.seconds("hold.margin.s", usual.holdMargin, 0.5..60.0),
+            leadHold = reader.seconds("lead.hold.s", usual.leadHold, 1.0..60.0),
+            blocksPerZone = reader.whole("blocks.per-zone", usual.blocksPerZone, 0..64),
+            stragglerMargin = reader.number("straggler.margin", usual.stragglerMargin, 1.0..100.0),
+            stragglerOverrun = reader.number("straggler.overrun", usual.stragglerOverrun, 0.0..100.0),
+            nearestProfiles = reader.whole("profiles.nearest", usual.nearestProfiles, 1..1000),
+            fittingSteps = reader.whole("profiles.fitting-steps", usual.fittingSteps, 0..100),
+            fittingRate = reader.number("profiles.fitting-rate", usual.fittingRate, 0.0..1.0),
+            profileCapacity = reader.whole("profiles.capacity", usual.profileCapacity, 1..100_000),
+            headroom = reader.number("fleet.headroom", usual.headroom, 1.0..10.0),
+            idleBeforeReturn = reader.seconds("fleet.idle.s", usual.idleBeforeReturn, 0.0..86_400.0),
+        )
+    }
+
+    private class Reader(private val properties: Properties) {
+        fun number(key: String, usual: Double, range: ClosedFloatingPointRange<Double>): Double {
+            val text = properties.getProperty(key)?.trim() ?: return usual
+            return text.toDoubleOrNull()?.takeIf { it in range } ?: throw BadSetting("$key: not a number in $range: $text")
+        }
+
+        fun whole(key: String, usual: Int, range: IntRange): Int {
+            val text = properties.getProperty(key)?.trim() ?: return usual
+            return text.toIntOrNull()?.takeIf { it in range } ?: throw BadSetting("$key: not an integer in $range: $text")
+        }
+
+        fun seconds(key: String, usual: Duration, range: ClosedFloatingPointRange<Double>): Duration =
+            number(key, usual.inWholeMilliseconds / 1000.0, range).seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/app/Rehearsal.kt
@@ -0,0 +1,121 @@
+package copperglade.app
+
+import copperglade.coordination.Tuning
+import copperglade.protocol.Endpoint
+import copperglade.protocol.Json
+import copperglade.protocol.PlatformSettings
+import copperglade.protocol.obj
+import copperglade.transport.Method
+import copperglade.transport.NettyEventLoop
+import copperglade.transport.NettyHttpCaller
+import copperglade.transport.NettyHttpServer
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import copperglade.transport.RequestHandler
+import copperglade.transport.Responder
+import picocli.CommandLine.Command
+import java.net.ServerSocket
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A short run against canned answers, made once by the build: the classes that it loads go into the class-data
+ * archive, which halves what a start costs on a small machine. It proves nothing about behaviour.
+ */
+@Command(name = "rehearse", hidden = true, description = ["Loads the program's classes once; used by the build."])
+class Rehearsal : Callable<Int> {
+    private var ledger = 1L
+
+    override fun call(): Int {
+        val loop = NettyEventLoop()
+        val http = NettyHttpCaller(loop.group)
+        val ports = List(PORTS) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+        val outside = Endpoint("127.0.0.1", ports[0])
+        NettyHttpServer(loop.group, SOCKETS, RequestHandler { request, responder -> canned(loop, request, responder) }).listen(outside)
+        Main.run(settings(ports), Tuning())
+        val client = Endpoint("127.0.0.1", ports[1])
+        val rounds = CountDownLatch(ROUNDS)
+        fun round(number: Int) {
+            http.call(client, Request(Method.GET, "/healthz"), 1.seconds) {}
+            http.call(client, Request(Method.POST, "/submissions", JOB.toByteArray()), 1.seconds) {}
+            http.call(client, Request(Method.GET, "/submissions/job-1"), 1.seconds) {}
+            http.call(client, Request(Method.POST, "/checkin", report(number, ports[0]).toByteArray()), 1.seconds) {}
+            loop.after(100.milliseconds) {
+                rounds.countDown()
+                if (number < ROUNDS) round(number + 1)
+            }
+        }
+        loop.after(500.milliseconds) { round(1) }
+        rounds.await(LONGEST_S, TimeUnit.SECONDS)
+        return 0
+    }
+
+    private fun canned(loop: NettyEventLoop, request: Request, responder: Responder) {
+        val path = request.path
+        val text = when {
+            path == "/holds" -> """{"permit":${++ledger}}"""
+            path.startsWith("/holds/") -> "{}"
+            path.startsWith("/kv?") -> """{"entries":[],"truncated":false,"ledger":$ledger}"""
+            path == "/multi" -> """{"ledger":${++ledger}}"""
+            path.startsWith("/changes") -> """{"ledger":$ledger,"events":[]}"""
+            path == "/machine_types" -> TYPES
+            path.startsWith("/machines?") -> """{"trucks":[],"truncated":false}"""
+            path == "/do" -> report(DO_TALLY, 1)
+            else -> null
+        }
+        val reply = if (text == null) Reply(UNAVAILABLE) else Reply(OK, text.toByteArray())
+        loop.after(2.milliseconds) { responder.send(reply) }
+    }
+
+    private fun report(tally: Int, port: Int) = """{"truck":"i-000001","addr":"127.0.0.1:$port","fleet":"small",
+        "depot":"here","borrowed":false,"shift":1,"tally":$tally,"baton":100,"recallS":null,
+        "boxes":[{"box":"job-1/0","trip":1,"status":"running"}]}"""
+
+    private fun settings(ports: List<Int>): PlatformSettings {
+        val outside = "127.0.0.1:${ports[0]}"
+        val bytes = Json.write {
+            obj {
+                writeStringField("member", "rehearsal")
+                writeStringField("location", "here")
+                writeStringField("client_listen", "127.0.0.1:${ports[1]}")
+                writeStringField("cluster_listen", "127.0.0.1:${ports[2]}")
+                writeArrayFieldStart("known")
+                obj {
+                    writeStringField("member", "nobody")
+                    writeStringField("location", "here")
+                    writeStringField("endpoint", "127.0.0.1:${ports[2]}")
+                }
+                writeEndArray()
+                obj("outside") {
+                    writeStringField("cloud", outside)
+                    writeStringField("state", outside)
+                }
+                writeFieldName("deployment")
+                writeRawValue(DEPLOYMENT)
+            }
+        }
+        return PlatformSettings.parse(bytes)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val PORTS = 3
+        const val SOCKETS = 100
+        const val ROUNDS = 30
+        const val LONGEST_S = 20L
+        const val DO_TALLY = 100_000
+        const val TYPES = """{"fleets":[{"name":"small","vcpus":4,"gpus":0,"memoryGb":16,"localGb":20,"pullGbPerS":1.0,
+            "price":1.0,"lowPrice":0.5,"bootS":30,"depots":["here"]}]}"""
+        const val JOB = """{"nameId":"job-1","load":"l","crew":"t","haul":"array","urgency":"normal","boxes":2,"vcpus":1.0,
+            "gpus":0.0,"memoryGb":1.0,"manifest":"img-1","pullGb":1.0,"fleets":null,"depot":null,"oneZone":false,
+            "spread":false,"borrowed":true,"etaS":5.0,"waypointS":0.0,"unloadS":0.0,"dueS":20.0}"""
+        const val DEPLOYMENT = """{"nodes":1,"zones":["here"],"teams":[{"name":"t","cpus":0.0,"cpus_max":0.0,"gpus":0.0,
+            "gpus_max":0.0}],"workers":{"report_s":1.0,"lease_s":5.0,"cancel_s":20.0},"state":{"rps":200.0,
+            "write_rps":50.0,"value_kb":4.0,"txn_ops":12},"cloud":{"rps":5.0,"list_lag_s":1.0},
+            "resources":{"fd_limit":500}}"""
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/bookkeeping/RiskAssessment.kt
@@ -0,0 +1,50 @@
+package copperglade.bookkeeping
+
+/** A machine on which a straggler could run again, with what is expected of it there. */
+class Option<T>(val place: T, val prediction: Prediction, val fetchS: Double)
+
+/** The outcome of weighing a straggler, with the figures that led to it. */
+sealed interface Verdict<T> {
+    class Restart<T>(val option: Option<T>, val profit: Double) : Verdict<T>
+
+    /** No option's expected profit is above 0. */
+    class NoProfit<T>(val best: Double?) : Verdict<T>
+
+    /** The best option's worst time does not beat the time that the straggler still needs. */
+    class TooRisky<T>(val profit: Double, val worstS: Double) : Verdict<T>
+}
+
+/** The risk-aware assignment of section 6, with the profit function of DESIGN. */
+object RiskAssessment {
+    /**
+     * E = sum of P·U over the ranges before and after the straggler's expected finish, in [remainingS] from now.
+     * U = that finish − (now + the range's average), so that it counts time saved. Formulas (5), (6) and (8).
+     */
+    fun expectedProfit(prediction: Prediction, fetchS: Double, remainingS: Double): Double {
+        val (before, after) = prediction.timesS.map { it + fetchS }.partition { it <= remainingS }
+        return share(before, prediction, remainingS) + share(after, prediction, remainingS)
+    }
+
+    private fun share(range: List<Double>, whole: Prediction, remainingS: Double): Double =
+        if (range.isEmpty()) 0.0 else range.size.toDouble() / whole.timesS.size * (remainingS - range.average())
+
+    /** Algorithm 2: the option of the largest profit, and the guard that stands before killing the straggler. */
+    fun <T> weigh(options: List<Option<T>>, remainingS: Double): Verdict<T> {
+        val best = options
+            .map { it to expectedProfit(it.prediction, it.fetchS, remainingS) }
+            .maxByOrNull { it.second }
+        if (best == null || best.second <= 0.0) return Verdict.NoProfit(best?.second)
+        val (option, profit) = best
+        val worst = option.prediction.worst + option.fetchS
+        return if (worst < remainingS) Verdict.Restart(option, profit) else Verdict.TooRisky(profit, worst)
+    }
+
+    /**
+     * What a straggler that has run for [elapsedS] still needs: the mean of those predicted times that it has not
+     * passed yet. Past all of them, it is taken to need [overrun] of what it has had already.
+     */
+    fun remainingS(prediction: Prediction, elapsedS: Double, overrun: Double): Double {
+        val ahead = prediction.timesS.filter { it > elapsedS }
+        return if (ahead.isEmpty()) elapsedS * overrun else ahead.average() - elapsedS
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -0,0 +1,588 @@
+package copperglade.coordination
+
+import copperglade.bookkeeping.Factors
+import copperglade.bookkeeping.Profile
+import copperglade.bookkeeping.ProfileBook
+import copperglade.protocol.Baton
+import copperglade.protocol.BlockName
+import copperglade.protocol.BlockRoom
+import copperglade.protocol.Box
+import copperglade.protocol.BoxState
+import copperglade.protocol.Command
+import copperglade.protocol.ExitCause
+import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
+import copperglade.protocol.JobSpec
+import copperglade.protocol.MachineName
+import copperglade.protocol.MachineRoom
+import copperglade.protocol.MachineType
+import copperglade.protocol.Moment
+import copperglade.protocol.Priority
+import copperglade.protocol.Report
+import copperglade.protocol.Resources
+import copperglade.protocol.TaskId
+import copperglade.protocol.Trip
+import copperglade.protocol.WorkerWire
+import copperglade.storage.Job
+import copperglade.storage.Replica
+import copperglade.transport.EventLoop
+import copperglade.transport.HttpCaller
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import org.slf4j.LoggerFactory
+import kotlin.math.min
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What the owners of a process share. */
+class OwnerContext(
+    val loop: EventLoop,
+    val http: HttpCaller,
+    val replica: Replica,
+    val membership: Membership,
+    val types: TypeBook,
+    val profiles: ProfileBook,
+    val tuning: Tuning,
+    val reportS: Double,
+    val leaseS: Double,
+)
+
+/**
+ * The owner of one block: picks machines for the block's tasks, starts and stops them, and finds out what became of
+ * them. It commands workers only while [Membership.mayAct], and only under batons of its own tenure.
+ */
+class BlockOwner(
+    private val context: OwnerContext,
+    val name: BlockName,
+    private val first: Baton,
+    private val outcomes: OutcomeLog,
+) {
+    private val loop = context.loop
+    private val tenure = hashSetOf(first)
+    private val openedAt = loop.now()
+
+    /** By then, every worker that only a former owner answered has lost its lease. */
+    private val strangersGoneAt = openedAt + (context.leaseS * (1 + Hold.DRIFT) + LEASE_MARGIN_S).seconds
+    private var trips = 0
+    private val runs = HashMap<JobId, HashMap<Int, Run>>()
+    private val failures = HashMap<JobId, Int>()
+    private val stragglers = StragglerWatch(context)
+    val machines = HashMap<MachineName, Machine>()
+
+    var baton = first
+        private set
+
+    /** Nothing is commanded until the records are known to be as new as the grant. */
+    var open = false
+        private set
+
+    fun holds(stamp: Baton): Boolean = stamp in tenure
+
+    fun open() {
+        open = true
+        context.replica.jobs.values.forEach(::sync)
+        machines.values.toList().forEach { if (fenced(it)) match(it) }
+    }
+
+    /** The block's key was written anew by ourselves: late copies of older commands die out with the old baton. */
+    fun renew(next: Baton) {
+        tenure += next
+        baton = next
+        trips = 0
+    }
+
+    // ---- records -> runs ----
+
+    /** Brings the runs of a job in line with the records. */
+    fun sync(job: Job) {
+        if (!open) return
+        val live = job.live
+        if (live == null) {
+            drop(job.id)
+            return
+        }
+        val standing = HashSet<Int>()
+        for (assignment in job.assignments()) {
+            if (assignment.block != name) continue
+            standing += assignment.task
+            val known = runs[job.id]?.get(assignment.task)
+            val run = if (known == null || (known.generation != assignment.generation && known.state == RunState.GONE)) {
+                val state = if (assignment.baton in tenure) RunState.WAITING else RunState.MISSING
+                val task = TaskId(job.id, assignment.task)
+                val fresh = Run(task, live.value.spec, assignment.generation, live.value.acceptedAtMs, state, loop.now())
+                fresh.restarted = job.restarted(assignment.task)
+                runs.getOrPut(job.id) { HashMap() }[assignment.task] = fresh
+                fresh
+            } else {
+                known
+            }
+            if (assignment.recalled) stop(run, StopReason.RECALLED)
+            if (job.cancelled) stop(run, StopReason.CANCELLED)
+        }
+        val mine = runs[job.id] ?: return
+        mine.values.filter { it.task.index !in standing }.forEach(::forget)
+    }
+
+    fun drop(job: JobId) {
+        runs[job]?.values?.toList()?.forEach(::forget)
+        failures.remove(job)
+    }
+
+    /** The record of its outcome stands; whatever its machine still reports of it is swept up as a stray. */
+    private fun forget(run: Run) {
+        run.unbind()
+        val mine = runs[run.task.job] ?: return
+        mine.remove(run.task.index)
+        if (mine.isEmpty()) runs.remove(run.task.job)
+    }
+
+    private fun allRuns(): Sequence<Run> = runs.values.asSequence().flatMap { it.values.asSequence() }
+
+    fun runsOf(job: JobId): Collection<Run> = runs[job]?.values.orEmpty()
+
+    /** Stops a run, or gives it back at once where it is on no machine. */
+    private fun stop(run: Run, reason: StopReason) {
+        when (run.state) {
+            RunState.WAITING -> {
+                run.stopFor(reason)
+                finish(run, RunState.GONE, "not started: $reason")
+            }
+            RunState.STARTING, RunState.FETCHING, RunState.RUNNING -> {
+                run.stopFor(reason)
+                run.moveTo(RunState.STOPPING, reason.name, loop.now())
+                run.machine?.let(::settle)
+            }
+            RunState.STOPPING -> if (reason == StopReason.CANCELLED || reason == StopReason.RECALLED) run.stopFor(reason)
+            RunState.MISSING, RunState.DONE, RunState.GONE -> Unit
+        }
+    }
+
+    private fun finish(run: Run, state: RunState, why: String) {
+        run.moveTo(state, why, loop.now())
+        if (state == RunState.GONE) run.unbind()
+        outcomes.note(this, run)
+    }
+
+    // ---- reports ----
+
+    /** Takes a worker's own report and answers it. The caller has checked that we may act. */
+    fun checkin(report: Report): ByteArray {
+        val machine = hear(report)
+        machine.answeredAt = loop.now()
+        if (!open || !fenced(machine)) {
+            fence(machine)
+            return WorkerWire.answer(baton, emptyList())
+        }
+        // Where the direct way is broken, the answer to the report is the other one; it is never executed late.
+        val commands = if (machine.deaf && !machine.commandInFlight) commandsFor(machine) else emptyList()
+        if (commands.isNotEmpty()) {
+            markSent(commands, machine)
+            taint(machine, commands, actsUntil = loop.now() + ANSWER_ACTS)
+        }
+        return WorkerWire.answer(baton, commands)
+    }
+
+    private fun hear(report: Report): Machine {
+        val machine = machines.getOrPut(report.machine) {
+            Machine(report.machine, report.zone, report.spot, report.type, report.endpoint, loop.now())
+        }
+        val before = machine.session
+        if (machine.update(report, loop.now())) {
+            if (machine.session > before) machine.runs.toList().forEach { lost(it, "session ${machine.session} began") }
+            if (open && fenced(machine)) match(machine)
+        }
+        return machine
+    }
+
+    /** Only what a worker says after it has seen our baton is final: earlier owners' commands can't act any more. */
+    private fun fenced(machine: Machine): Boolean = machine.baton >= first
+
+    private fun fence(machine: Machine) {
+        if (machine.commandInFlight || loop.now() < machine.commandSentAt + RESEND) return
+        send(machine, emptyList())
+    }
+
+    /** Brings the runs in line with what a fenced machine reports. */
+    private fun match(machine: Machine) {
+        for (box in machine.boxes) adopt(machine, box)
+        for (run in machine.runs.toList()) {
+            val box = machine.box(run.task, run.trip)
+            if (box != null) observe(run, machine, box) else absent(run, machine)
+        }
+        settle(machine)
+    }
+
+    private fun adopt(machine: Machine, box: Box) {
+        val run = runs[box.task.job]?.get(box.task.index) ?: return
+        if (run.state != RunState.MISSING) return
+        if (box.state == BoxState.EXITED && box.cause != ExitCause.DONE) return
+        run.bind(machine, box.trip)
+        run.seen = true
+        run.moveTo(RunState.STARTING, "found on ${machine.name}", loop.now())
+        val job = context.replica.jobs[box.task.job]
+        if (job?.cancelled == true) stop(run, StopReason.CANCELLED)
+    }
+
+    private fun observe(run: Run, machine: Machine, box: Box) {
+        run.seen = true
+        val stopping = run.state == RunState.STOPPING
+        when (box.state) {
+            BoxState.FETCHING, BoxState.WAITING -> if (!stopping) run.moveTo(RunState.FETCHING, "reported", loop.now())
+            BoxState.RUNNING -> {
+                context.types[machine.typeName]?.let { machine.usedImage(run.spec.image, it.cacheGb) }
+                if (!stopping) run.moveTo(RunState.RUNNING, "reported", loop.now())
+            }
+            BoxState.SAVING -> Unit
+            BoxState.EXITED -> exited(run, machine, box.cause ?: ExitCause.OTHER)
+        }
+    }
+
+    private fun exited(run: Run, machine: Machine, cause: ExitCause) {
+        when (cause) {
+            ExitCause.DONE -> {
+                profile(run, machine)
+                machine.failedJobs.clear()
+                finish(run, RunState.DONE, "completed")
+            }
+            ExitCause.ERROR -> {
+                log.warn("{} failed on {}", run.task, machine.name)
+                machine.failedJobs += run.task.job
+                machine.suspectUntil = loop.now() + SUSPECT
+                failed(run, machine, failures.merge(run.task.job, 1, Int::plus) ?: 1)
+            }
+            ExitCause.STOPPED -> lost(run, "stopped")
+            ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN_JOB, ExitCause.OTHER -> {
+                log.info("{} refused by {}: {}", run.task, machine.name, cause)
+                failed(run, machine, 1)
+            }
+        }
+    }
+
+    private fun failed(run: Run, machine: Machine, times: Int) {
+        run.avoid += machine.name
+        run.notBefore = loop.now() + min(BACKOFF_S * (1 shl min(times, BACKOFF_DOUBLINGS)), LONGEST_BACKOFF_S).seconds
+        lost(run, "failed")
+    }
+
+    private fun profile(run: Run, machine: Machine) {
+        val began = run.runningSince ?: return
+        val seconds = (loop.now().ms - began.ms) / 1000.0
+        if (run.spec.kind != JobKind.ARRAY || run.state != RunState.RUNNING) return
+        context.profiles.record(Profile(machine.name, factors(run, machine), seconds))
+    }
+
+    private fun factors(run: Run, machine: Machine) =
+        Factors(run.task.job, run.spec.load, machine.typeName, run.spec.request, machine.runs.size)
+
+    /** A run that a newer report does not show. */
+    private fun absent(run: Run, machine: Machine) {
+        when {
+            run.seen -> lost(run, "no longer reported")
+            run.state != RunState.STOPPING -> Unit
+            // The start was answered or never sent, and the worker does not have it.
+            !machine.commandInFlight && !machine.tainted(run.task, run.trip) -> lost(run, "never arrived")
+        }
+    }
+
+    /** The run is surely on no machine any more. */
+    private fun lost(run: Run, why: String) {
+        val reason = run.stopReason
+        if (run.state == RunState.DONE || run.state == RunState.GONE) return
+        run.unbind()
+        when (reason) {
+            null, StopReason.RESTARTED -> {
+                run.clearStop()
+                run.moveTo(RunState.WAITING, why, loop.now())
+            }
+            else -> finish(run, RunState.GONE, "$why, $reason")
+        }
+    }
+
+    // ---- commands ----
+
+    private fun requestOf(task: TaskId): Resources? =
+        runs[task.job]?.get(task.index)?.spec?.request ?: context.replica.jobs[task.job]?.spec?.request
+
+    /** Sends a machine whatever it is still to be told. */
+    private fun settle(machine: Machine) {
+        if (!open || machine.commandInFlight || machine.deleting || !context.membership.mayAct) return
+        if (!fenced(machine)) return fence(machine)
+        for (run in machine.runs.toList()) {
+            if (run.state == RunState.STOPPING && !run.seen && run.startSentAt == Moment.NEVER) lost(run, "never sent")
+        }
+        val commands = commandsFor(machine)
+        if (commands.isNotEmpty()) send(machine, commands)
+    }
+
+    private fun commandsFor(machine: Machine): List<Command> {
+        val now = loop.now()
+        val commands = ArrayList<Command>()
+        for (box in machine.boxes) {
+            if (machine.runs.any { it.task == box.task && it.trip == box.trip }) continue
+            if (box.state != BoxState.EXITED) {
+                commands += Command.Halt(box.task, box.trip, 0.0)
+            } else if (!machine.tainted(box.task, box.trip) && now >= (machine.reapedAt[box.trip] ?: Moment.NEVER) + RESEND) {
+                // Not before its outcome stands, and never while a late copy of its start could start it once more.
+                commands += Command.Reap(box.task, box.trip)
+            }
+        }
+        for (run in machine.runs) {
+            when (run.state) {
+                RunState.STOPPING -> if (now >= run.haltSentAt + RESEND) commands += Command.Halt(run.task, run.trip, graceFor(run))
+                RunState.STARTING -> if (!run.seen && now >= run.startSentAt + RESEND) commands += Command.Start(run.task, run.trip)
+                else -> Unit
+            }
+        }
+        return commands.sortedBy { ORDER_OF_COMMANDS.indexOf(it::class) }.take(MOST_COMMANDS)
+    }
+
+    private fun graceFor(run: Run): Double = if (run.stopReason == StopReason.CANCELLED) 0.0 else run.spec.saveS
+
+    private fun markSent(commands: List<Command>, machine: Machine) {
+        val now = loop.now()
+        for (command in commands) {
+            val run = runs[command.task.job]?.get(command.task.index)?.takeIf { it.trip == command.trip && it.machine === machine }
+            when (command) {
+                is Command.Start -> run?.startSentAt = now
+                is Command.Halt -> run?.haltSentAt = now
+                is Command.Reap -> machine.reapedAt[command.trip] = now
+            }
+        }
+    }
+
+    private fun taint(machine: Machine, commands: List<Command>, actsUntil: Moment?): List<Taint> {
+        val taints = commands.filterIsInstance<Command.Start>()
+            .map { Taint(it.task, it.trip, machine.session, baton, loop.now(), actsUntil) }
+        machine.taints += taints
+        return taints
+    }
+
+    private fun send(machine: Machine, commands: List<Command>) {
+        if (!context.membership.mayAct) return
+        markSent(commands, machine)
+        machine.commandInFlight = true
+        machine.commandSentAt = loop.now()
+        val body = WorkerWire.order(baton, machine.session, commands)
+        val mine = taint(machine, commands, actsUntil = null)
+        context.http.call(machine.endpoint, Request(Method.POST, WorkerWire.COMMAND_PATH, body), COMMAND_TIMEOUT) { reply ->
+            machine.commandInFlight = false
+            machine.deaf = reply == null
+            if (machines[machine.name] === machine) commanded(machine, reply, mine)
+        }
+    }
+
+    private fun commanded(machine: Machine, reply: Reply?, mine: List<Taint>) {
+        // An answer says that this copy was executed or never will be.
+        if (reply?.status == OK || reply?.status == CONFLICT) machine.taints.removeAll(mine.toSet())
+        val report = reply?.let { WorkerWire.parseReport(it.body) }
+        if (report != null && report.machine == machine.name) {
+            if (report.baton > baton) log.info("{} obeys a higher baton {} than ours, {}", machine.name, report.baton, baton)
+            hear(report)
+        } else if (reply != null) {
+            log.warn("{} answered a command with {}", machine.name, reply.status)
+        }
+        if (reply != null) settle(machine)
+    }
+
+    // ---- the clock ----
+
+    fun tick() {
+        if (!open) return
+        val now = loop.now()
+        expire(now)
+        findMissing(now)
+        place(now)
+        if (context.membership.mayAct) {
+            stragglers.look(machines.values, now).forEach { restart(it) }
+            machines.values.toList().forEach(::settle)
+        }
+    }
+
+    /** A machine that was last answered more than a lease ago has killed its tasks. */
+    private fun expire(now: Moment) {
+        val lease = (context.leaseS * (1 + Hold.DRIFT) + LEASE_MARGIN_S).seconds
+        for (machine in machines.values.toList()) {
+            machine.taints.removeIf { it.actsUntil != null && now >= it.actsUntil }
+            if (now < machine.answeredAt + lease) continue
+            log.info("{} silent for longer than its lease, {} tasks lost", machine.name, machine.runs.size)
+            remove(machine)
+        }
+    }
+
+    fun remove(machine: Machine) {
+        machines.remove(machine.name)
+        machine.runs.toList().forEach { lost(it, "${machine.name} is gone") }
+    }
+
+    /**
+     * A task that no worker reports may be started once every worker that could hold it has been heard under our
+     * baton or has lost its lease. The cloud's list can't shorten the wait: it lags.
+     */
+    private fun findMissing(now: Moment) {
+        if (now < strangersGoneAt || machines.values.any { !fenced(it) }) return
+        val missing = allRuns().filter { it.state == RunState.MISSING }.toList()
+        for (run in missing) {
+            run.moveTo(RunState.WAITING, "on no worker", now)
+            val job = context.replica.jobs[run.task.job]
+            if (job?.cancelled == true) stop(run, StopReason.CANCELLED)
+        }
+    }
+
+    /**
+     * Whether a start of unknown outcome holds something up that only a new baton can settle: a late copy of it could
+     * still act, and its machine goes on living.
+     */
+    fun needsNewBaton(): Boolean {
+        val now = loop.now()
+        return machines.values.any { machine ->
+            machine.taints.any { it.actsUntil == null && it.baton == baton && now >= it.since + UNSETTLED } &&
+                now < machine.heardAt + (context.reportS * SILENT_REPORTS).seconds && !machine.deaf
+        }
+    }
+
+    private fun restart(decision: RestartDecision) {
+        val run = decision.run
+        run.target = decision.target
+        run.restarted = true
+        outcomes.note(this, run)
+        stop(run, StopReason.RESTARTED)
+    }
+
+    // ---- placing ----
+
+    private fun place(now: Moment) {
+        if (!context.membership.mayAct) return
+        val waiting = allRuns().filter { it.state == RunState.WAITING && now >= it.notBefore }
+            .sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMs }, { it.task.index }))
+            .toList()
+        if (waiting.isEmpty()) return
+        val rooms = machines.values.filter { usable(it, now) }
+            .mapNotNull { machine -> context.types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, ::requestOf)) } }
+        val hopeless = HashSet<JobId>()
+        for (run in waiting) {
+            val chosen = if (run.task.job in hopeless) null else choose(run, rooms)
+            if (chosen != null) {
+                chosen.free -= run.spec.request
+                run.target = null
+                run.bind(chosen.machine, Trip.of(baton, ++trips))
+                run.moveTo(RunState.STARTING, "placed", now)
+                settle(chosen.machine)
+                continue
+            }
+            hopeless += run.task.job
+            if (!preemptFor(run, rooms) && now >= run.since + PATIENCE) finish(run, RunState.GONE, "no room")
+        }
+    }
+
+    private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
+
+    fun usable(machine: Machine, now: Moment): Boolean = fenced(machine) && !machine.draining && !machine.deleting &&
+        !machine.noticed && !machine.faulty && now >= machine.suspectUntil &&
+        now < machine.heardAt + (context.reportS * SILENT_REPORTS).seconds
+
+    private fun allowed(spec: JobSpec, machine: Machine) = spec.allows(machine.typeName, machine.zone, machine.spot)
+
+    /** Where the image is, then where it is being fetched, then the fullest: what is empty can be returned. */
+    private fun choose(run: Run, rooms: List<Candidate>): Candidate? = rooms
+        .filter {
+            run.spec.request.fitsIn(it.free) && allowed(run.spec, it.machine) && it.machine.name !in run.avoid &&
+                it.machine.boxes.none { box -> box.task == run.task }
+        }
+        .minWithOrNull(
+            compareBy<Candidate> { if (it.machine.name == run.target) 0 else 1 }
+                .thenBy { imageRank(it.machine, run.spec) }
+                .thenBy { it.free.cpus },
+        )
+
+    private fun imageRank(machine: Machine, spec: JobSpec): Int = when {
+        machine.hasImage(spec.image) -> 0
+        machine.fetching(spec.image) -> 1
+        else -> 2
+    }
+
+    /** Stops work of lower priority for [run]; true while such work is on its way out. */
+    private fun preemptFor(run: Run, rooms: List<Candidate>): Boolean {
+        val plan = rooms
+            .filter { allowed(run.spec, it.machine) && it.machine.name !in run.avoid }
+            .mapNotNull { room -> victims(run, room)?.let { room to it } }
+            .minWithOrNull(compareBy({ imageRank(it.first.machine, run.spec) }, { it.second.size })) ?: return false
+        for (victim in plan.second) stop(victim, StopReason.PREEMPTED)
+        return true
+    }
+
+    /** The runs to stop so that [run] fits; those already stopping come first, at no further cost. */
+    private fun victims(run: Run, room: Candidate): List<Run>? {
+        var free = room.free
+        val chosen = ArrayList<Run>()
+        val candidates = room.machine.runs
+            .filter { it.onMachine && it.spec.priority > run.spec.priority && it.spec.kind == JobKind.ARRAY }
+            .sortedWith(
+                compareBy<Run> { if (it.state == RunState.STOPPING) 0 else 1 }
+                    .thenByDescending { it.spec.priority }
+                    .thenByDescending { it.runningSince?.ms ?: Long.MAX_VALUE },
+            )
+        for (victim in candidates) {
+            if (run.spec.request.fitsIn(free)) break
+            free += victim.spec.request
+            chosen += victim
+        }
+        return chosen.takeIf { it.isNotEmpty() && run.spec.request.fitsIn(free) }
+    }
+
+    // ---- for the lead ----
+
+    fun room(): BlockRoom {
+        val now = loop.now()
+        val waiting = allRuns().filter { it.state == RunState.WAITING }.map { it.spec.request }.toMutableList()
+        val rooms = machines.values.filter(::fenced).mapNotNull { machine ->
+            val type = context.types[machine.typeName] ?: return@mapNotNull null
+            var free = machine.free(type, ::requestOf)
+            // What waits here already will take this room first.
+            val next = waiting.iterator()
+            while (next.hasNext()) {
+                val request = next.next()
+                if (!request.fitsIn(free)) continue
+                free -= request
+                next.remove()
+            }
+            val yielding = Priority.entries.map { priority ->
+                machine.runs.filter { it.spec.priority == priority && it.spec.kind == JobKind.ARRAY && it.onMachine }
+                    .fold(Resources.ZERO) { sum, run -> sum + run.spec.request }
+            }
+            val empty = machine.runs.isEmpty() && machine.boxes.isEmpty()
+            MachineRoom(
+                machine.name,
+                machine.typeName,
+                machine.zone,
+                machine.spot,
+                usable(machine, now),
+                if (empty) now.ms - machine.emptySince.ms else 0,
+                free,
+                yielding,
+                machine.cachedImages,
+            )
+        }
+        return BlockRoom(name, baton, rooms)
+    }
+
+    companion object {
+        private const val OK = 200
+        private const val CONFLICT = 409
+        private const val LEASE_MARGIN_S = 0.5
+        private const val SILENT_REPORTS = 2.5
+        private const val MOST_COMMANDS = 200
+        private const val BACKOFF_S = 1.0
+        private const val BACKOFF_DOUBLINGS = 6
+        private const val LONGEST_BACKOFF_S = 60.0
+        /** Workers drop answers that come later than 4 s after their report. */
+        private val ANSWER_ACTS = 5.seconds
+        private val UNSETTLED = 5.seconds
+        private val RESEND = 1000.milliseconds
+        private val COMMAND_TIMEOUT = 1500.milliseconds
+        private val PATIENCE = 2.seconds
+        private val SUSPECT = 10.seconds
+        private val ORDER_OF_COMMANDS = listOf(Command.Reap::class, Command.Halt::class, Command.Start::class)
+        private val log = LoggerFactory.getLogger("owner")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Blocks.kt
@@ -0,0 +1,120 @@
+package copperglade.coordination
+
+import copperglade.protocol.BlockName
+import copperglade.protocol.MachineName
+import copperglade.protocol.MemberId
+import copperglade.protocol.Stamp
+import copperglade.storage.BlockRecord
+import copperglade.storage.Condition
+import copperglade.storage.Keys
+import copperglade.storage.RecordCodec
+import copperglade.storage.Replica
+import copperglade.storage.StateClient
+import copperglade.storage.Transaction
+import copperglade.storage.TransactionOutcome
+import copperglade.storage.Urgency
+import copperglade.storage.Write
+import org.slf4j.LoggerFactory
+
+/** Which block a machine belongs to: a pure function, so that a machine needs no record and has exactly one block. */
+class BlockMap(private val zones: List<String>, private val perZone: Int) {
+    val all: List<BlockName> = zones.flatMap { zone -> (0 until perZone).map { BlockName("$zone.$it") } }
+
+    fun of(machine: MachineName, zone: String): BlockName {
+        // Names are numbered in order of rental: machines of one rental spread evenly over the slots.
+        val number = machine.text.takeLastWhile { it.isDigit() }.takeLast(NUMBER_DIGITS).toIntOrNull() ?: machine.text.hashCode()
+        return BlockName("$zone.${Math.floorMod(number, perZone)}")
+    }
+
+    fun zoneOf(block: BlockName): String = block.text.substringBeforeLast('.')
+
+    private companion object {
+        const val NUMBER_DIGITS = 9
+    }
+}
+
+/**
+ * The lead's hand in who owns which block. A block is granted anew only when its holder's incarnation is gone from the
+ * member key, which is a condition of the same transaction, or when the holder has given it up.
+ */
+class BlockGranter(
+    private val store: StateClient,
+    private val replica: Replica,
+    private val leadership: Leadership,
+    private val blocks: BlockMap,
+    private val zoneOfMember: Map<MemberId, String>,
+) {
+    private val inFlight = HashSet<BlockName>()
+
+    /** Blocks whose owners should give them up, so that every member has its part. */
+    var release: List<BlockName> = emptyList()
+        private set
+
+    fun round() {
+        val patience = replica.members.size >= zoneOfMember.size || leadership.leadingForS > WAIT_FOR_MEMBERS_S
+        if (!patience) return
+        val load = replica.members.keys.associateWithTo(HashMap()) { 0 }
+        val orphans = ArrayList<BlockName>()
+        for (block in blocks.all) {
+            val owner = ownerOf(block)
+            if (owner == null) orphans += block else load.merge(owner, 1, Int::plus)
+        }
+        for (block in orphans) {
+            if (block in inFlight) continue
+            val chosen = choose(block, load) ?: continue
+            load.merge(chosen, 1, Int::plus)
+            grant(block, chosen)
+        }
+        release = if (orphans.isEmpty()) balance(load) else emptyList()
+    }
+
+    fun ownerOf(block: BlockName): MemberId? {
+        val record = replica.blocks[block]?.value ?: return null
+        return record.member.takeIf { replica.members[it]?.value?.incarnation == record.incarnation }
+    }
+
+    /** The former owner where it lives again: it knows the machines' ways to it. Else whoever has least. */
+    private fun choose(block: BlockName, load: Map<MemberId, Int>): MemberId? {
+        val former = replica.blocks[block]?.value?.member
+        val fair = (blocks.all.size + load.size - 1) / load.size.coerceAtLeast(1)
+        if (former != null && (load[former] ?: fair) < fair) return former
+        val zone = blocks.zoneOf(block)
+        return load.keys.minWithOrNull(
+            compareBy<MemberId> { load.getValue(it) }.thenBy { if (zoneOfMember[it] == zone) 0 else 1 }.thenBy { it.text },
+        )
+    }
+
+    private fun balance(load: Map<MemberId, Int>): List<BlockName> {
+        val most = load.maxByOrNull { it.value } ?: return emptyList()
+        val least = load.values.min()
+        if (most.value - least < 2) return emptyList()
+        return listOfNotNull(blocks.all.lastOrNull { ownerOf(it) == most.key })
+    }
+
+    private fun grant(block: BlockName, to: MemberId) {
+        val member = replica.members[to] ?: return
+        val present = replica.blocks[block]
+        val conditions = ArrayList<Condition>()
+        conditions += leadership.condition
+        conditions += Condition(Keys.member(to), member.stamp)
+        conditions += Condition(Keys.block(block), present?.stamp ?: Stamp.ABSENT)
+        present?.value?.member?.takeIf { it != to }?.let { holder ->
+            conditions += Condition(Keys.member(holder), replica.members[holder]?.stamp ?: Stamp.ABSENT)
+        }
+        val record = RecordCodec.encode(BlockRecord(to, member.value.incarnation))
+        val transaction = Transaction(conditions, listOf(Write.Set(Keys.block(block), record)))
+        inFlight += block
+        store.commit(Urgency.HOLD, transaction) { outcome ->
+            inFlight -= block
+            if (outcome is TransactionOutcome.Applied) {
+                log.info("block {} granted to {} with baton {}", block, to, outcome.stamp)
+                replica.applied(transaction, outcome.stamp)
+            }
+        }
+    }
+
+    private companion object {
+        const val WAIT_FOR_MEMBERS_S = 1.5
+        val log = LoggerFactory.getLogger("blocks")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -0,0 +1,221 @@
+package copperglade.coordination
+
+import copperglade.bookkeeping.ProfileBook
+import copperglade.protocol.JobId
+import copperglade.protocol.MemberId
+import copperglade.protocol.PeerNote
+import copperglade.protocol.PeerWire
+import copperglade.protocol.PlatformSettings
+import copperglade.protocol.UserWire
+import copperglade.protocol.WorkerWire
+import copperglade.protocol.secondsSince
+import copperglade.storage.Replica
+import copperglade.storage.ReplicaState
+import copperglade.storage.StateClient
+import copperglade.storage.StateLimits
+import copperglade.storage.TokenBucket
+import copperglade.transport.EventLoop
+import copperglade.transport.HttpCaller
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import copperglade.transport.RequestHandler
+import copperglade.transport.Responder
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One controller: everything that decides, over a clock and ways to send that are handed in. */
+class Controller(
+    private val loop: EventLoop,
+    http: HttpCaller,
+    private val settings: PlatformSettings,
+    tuning: Tuning,
+) {
+    private val store = StateClient(
+        loop,
+        http,
+        settings.state,
+        StateLimits(settings.stateRps, settings.stateWriteRps, settings.valueKb, settings.transactionWrites),
+    )
+    private val replica = Replica(loop, store)
+    private val membership = Membership(loop, store, replica, settings.member, holdLength(settings, tuning))
+    private val leadership = Leadership(loop, store, replica, membership, tuning.leadHold)
+    private val zoneOfMember = settings.peers.associate { it.member to it.zone } + (settings.member to settings.zone)
+    private val blockMap = BlockMap(settings.zones, tuning.blocksPerZone.takeIf { it > 0 } ?: zoneOfMember.size)
+    private val granter = BlockGranter(store, replica, leadership, blockMap, zoneOfMember)
+    private val types = TypeBook(loop, http, settings.cloud)
+    private val cloudBudget = TokenBucket(settings.cloudRps * CLOUD_SHARE / zoneOfMember.size, 2.0, loop.now())
+    private val profiles =
+        ProfileBook(tuning.nearestProfiles, tuning.fittingSteps, tuning.fittingRate, tuning.profileCapacity)
+    private val owner = Owner(
+        OwnerContext(loop, http, replica, membership, types, profiles, tuning, settings.reportS, settings.leaseS),
+        store,
+        blockMap,
+        settings.cloud,
+        cloudBudget,
+    )
+    private val notes = Notes(loop, http, settings.peers, ::composeNote, ::heardNote)
+    private val roomBook = RoomBook(replica, blockMap)
+    private val assigner = Assigner(loop, store, replica, leadership, roomBook, settings.teams, ::noteOf)
+    private val closer = Closer(store, replica, leadership, settings.transactionWrites)
+    private val fleet = Fleet(
+        loop, http, settings.cloud, cloudBudget, replica, leadership, membership, types, settings.teams, blockMap,
+        tuning, settings.listLagS, ::noteOf,
+    )
+    private val desk = JobDesk(loop, store, replica, types, settings.teams)
+
+    /** Users, workers and health checks. */
+    val clientHandler = RequestHandler(::handleClient)
+
+    /** The other controllers. */
+    val clusterHandler = RequestHandler(::handlePeer)
+
+    fun start() {
+        replica.listen(owner)
+        membership.onChange = owner::reconcile
+        types.start()
+        replica.start()
+        membership.start()
+        leadership.start()
+        owner.start()
+        notes.start()
+        fleet.start()
+        leadLater(SHORTEST_ROUND)
+    }
+
+    /** The lead's rounds. The longer a round takes, the later the next one, and the more it decides. */
+    private fun leadLater(pause: Duration) {
+        loop.after(pause) {
+            val began = loop.now()
+            if (leadership.leading) {
+                granter.round()
+                assigner.round()
+                closer.round()
+            }
+            shareBudget()
+            val took = loop.now().ms - began.ms
+            leadLater(SHORTEST_ROUND + (took * ROUND_REST).milliseconds)
+        }
+    }
+
+    /** All controllers together must stay within the state service's budgets; the lead writes most. */
+    private fun shareBudget() {
+        val members = replica.members.size.coerceAtLeast(1)
+        val parts = members + 1
+        store.setShare(BUDGET_USED * (if (leadership.leading) 2 else 1) / parts)
+    }
+
+    private fun composeNote(): PeerNote? {
+        val incarnation = membership.incarnation ?: return null
+        val leading = leadership.leading
+        return PeerNote(
+            member = settings.member,
+            incarnation = incarnation,
+            cursor = replica.cursor,
+            stateSilentMs = loop.now().ms - store.lastGood.ms,
+            leads = leading,
+            blocks = owner.rooms(),
+            release = if (leading) granter.release else emptyList(),
+            retire = if (leading) fleet.retire else emptyList(),
+        )
+    }
+
+    private var ownNote: PeerNote? = null
+
+    private fun heardNote(note: PeerNote) {
+        if (note.member == settings.member) ownNote = note
+        if (!note.leads) return
+        owner.release(note.release)
+        owner.retire(note.retire)
+    }
+
+    private fun noteOf(member: MemberId): PeerNote? =
+        if (member == settings.member) ownNote else notes.of(member)
+
+    // ---- requests ----
+
+    private fun handleClient(request: Request, responder: Responder) {
+        val path = request.path.substringBefore('?')
+        when {
+            path == WorkerWire.REPORT_PATH -> onPost(request, responder) { checkin(request, responder) }
+            path == UserWire.JOBS_PATH -> onPost(request, responder) { desk.submit(request.body, responder) }
+            path == UserWire.HEALTH_PATH -> if (request.method == Method.GET) responder.send(health()) else wrongMethod(responder)
+            path.startsWith("${UserWire.JOBS_PATH}/") -> job(request, path.removePrefix("${UserWire.JOBS_PATH}/"), responder)
+            else -> responder.send(Reply(NOT_FOUND, UserWire.error("no such path")))
+        }
+    }
+
+    private fun job(request: Request, rest: String, responder: Responder) {
+        val cancelling = rest.endsWith("/${UserWire.CANCEL_END}")
+        val id = JobId.parse(rest.removeSuffix("/${UserWire.CANCEL_END}"))
+        when {
+            id == null -> responder.send(Reply(NOT_FOUND, UserWire.error("no such job")))
+            cancelling -> onPost(request, responder) { desk.cancel(id, responder) }
+            request.method == Method.GET -> desk.poll(id, responder)
+            else -> wrongMethod(responder)
+        }
+    }
+
+    private fun onPost(request: Request, responder: Responder, action: () -> Unit) =
+        if (request.method == Method.POST) action() else wrongMethod(responder)
+
+    private fun wrongMethod(responder: Responder) =
+        responder.send(Reply(METHOD_NOT_ALLOWED, UserWire.error("method not allowed here")))
+
+    private fun checkin(request: Request, responder: Responder) {
+        val report = WorkerWire.parseReport(request.body)
+        responder.send(
+            when {
+                report == null -> Reply(BAD_REQUEST, UserWire.error("not a worker's report"))
+                replica.state != ReplicaState.CURRENT -> JobDesk.later()
+                else -> owner.checkin(report)
+            },
+        )
+    }
+
+    /**
+     * A node that alone has lost the state service should get no users; if all have lost it, none of the others
+     * would serve them better, and the balancer would only be slow to come back.
+     */
+    private fun health(): Reply {
+        val silent = loop.now().secondsSince(store.lastGood)
+        val alone = settings.peers.any { peer -> notes.of(peer.member)?.let { it.stateSilentMs < SILENT_MS } ?: false }
+        val healthy = replica.state == ReplicaState.CURRENT && types.known && (silent * 1000 < SILENT_MS || !alone)
+        return if (healthy) Reply(OK) else Reply(UNAVAILABLE, UserWire.error("not ready"))
+    }
+
+    private fun handlePeer(request: Request, responder: Responder) {
+        if (request.path != PeerWire.PATH) return responder.send(Reply(NOT_FOUND))
+        val note = PeerWire.decode(request.body)
+        if (note != null) notes.receive(note)
+        responder.send(Reply(if (note == null) BAD_REQUEST else OK))
+    }
+
+    companion object {
+        private const val OK = 200
+        private const val BAD_REQUEST = 400
+        private const val NOT_FOUND = 404
+        private const val METHOD_NOT_ALLOWED = 405
+        private const val UNAVAILABLE = 503
+        private const val SILENT_MS = 3000L
+        private const val BUDGET_USED = 0.9
+        private const val CLOUD_SHARE = 0.9
+        private const val ROUND_REST = 3
+        private val SHORTEST_ROUND = 60.milliseconds
+        private val log = LoggerFactory.getLogger("controller")
+
+        /**
+         * At 30 s, the design's first choice, an owner cut off from the state service could keep a worker going past
+         * the time in which a cancelled job must be gone: the hold, then the worker's lease.
+         */
+        fun holdLength(settings: PlatformSettings, tuning: Tuning): Duration {
+            val longest = (settings.cancelS - settings.leaseS).seconds - tuning.holdMargin
+            require(longest >= 1.seconds) { "cancel_s leaves no time for a hold beside lease_s" }
+            val length = minOf(tuning.holdLimit, longest)
+            log.info("holds last {}", length)
+            return length
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -0,0 +1,323 @@
+package copperglade.coordination
+
+import copperglade.protocol.BlockName
+import copperglade.protocol.CloudWire
+import copperglade.protocol.Endpoint
+import copperglade.protocol.Json
+import copperglade.protocol.JobKind
+import copperglade.protocol.ListedMachine
+import copperglade.protocol.MachineName
+import copperglade.protocol.MachineRoom
+import copperglade.protocol.MachineStatus
+import copperglade.protocol.MachineType
+import copperglade.protocol.MemberId
+import copperglade.protocol.Moment
+import copperglade.protocol.PeerNote
+import copperglade.protocol.Team
+import copperglade.protocol.TeamName
+import copperglade.protocol.secondsSince
+import copperglade.storage.Job
+import copperglade.storage.Replica
+import copperglade.storage.TokenBucket
+import copperglade.transport.EventLoop
+import copperglade.transport.HttpCaller
+import copperglade.transport.Method
+import copperglade.transport.Request
+import org.slf4j.LoggerFactory
+import kotlin.math.ceil
+import kotlin.math.exp
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** CPUs wanted now: by work that needs ordinary machines, and by work that may use spot machines as well. */
+class Demand(val ordinary: Double, val flexible: Double)
+
+/** How many CPUs the unfinished jobs could use now, within their teams' limits. */
+object DemandEstimate {
+    private const val SHARE_OF_TIME_LEFT = 0.6
+    private const val SHORTEST_S = 1.0
+
+    fun of(jobs: Collection<Job>, teams: Map<TeamName, Team>, nowMs: Long): Demand {
+        val used = HashMap<TeamName, Double>()
+        var ordinary = 0.0
+        var flexible = 0.0
+        for (job in jobs.filter { it.live != null }.sortedBy { it.live!!.value.acceptedAtMs }) {
+            val spec = job.spec ?: continue
+            if (job.cancelled || job.complete) continue
+            val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
+            val before = used[spec.team] ?: 0.0
+            val cpus = min((spec.tasks - job.done.cardinality()) * spec.request.cpus * atOnce(job, nowMs), max(0.0, limit - before))
+            used[spec.team] = before + cpus
+            if (spec.spotAllowed) flexible += cpus else ordinary += cpus
+        }
+        return Demand(ordinary, flexible)
+    }
+
+    /** The part of a job's remaining tasks that must run at the same time for the job to be in time. */
+    private fun atOnce(job: Job, nowMs: Long): Double {
+        val live = job.live!!.value
+        val spec = live.spec
+        if (spec.kind != JobKind.ARRAY) return 1.0
+        val left = spec.deadlineS?.let { it - (nowMs - live.acceptedAtMs) / 1000.0 } ?: (spec.estimateS * 2)
+        return (spec.estimateS / max(left * SHARE_OF_TIME_LEFT, SHORTEST_S)).coerceIn(0.0, 1.0)
+    }
+}
+
+/** The lead's dealings with the cloud: rents what demand asks for, and has what is idle returned. */
+class Fleet(
+    private val loop: EventLoop,
+    private val http: HttpCaller,
+    private val cloud: Endpoint,
+    private val budget: TokenBucket,
+    private val replica: Replica,
+    private val leadership: Leadership,
+    private val membership: Membership,
+    private val types: TypeBook,
+    private val teams: Map<TeamName, Team>,
+    private val blockMap: BlockMap,
+    private val tuning: Tuning,
+    private val listLagS: Double,
+    private val noteOf: (MemberId) -> PeerNote?,
+) {
+    private data class Kind(val type: String, val zone: String, val spot: Boolean)
+
+    private class Hired(val kind: Kind, val at: Moment)
+
+    private var listed: Map<MachineName, ListedMachine> = emptyMap()
+    private var listedAt = Moment.NEVER
+    private var listing = false
+    private val hired = HashMap<MachineName, Hired>()
+    private val pending = HashMap<Kind, Int>()
+    private val refusedUntil = HashMap<Kind, Moment>()
+    private val heardAt = HashMap<MachineName, Moment>()
+    private val deletedAt = HashMap<MachineName, Moment>()
+    private var rentals = 0
+    private var ordinaryLevel = 0.0
+    private var flexibleLevel = 0.0
+    private var levelAt = Moment.NEVER
+
+    /** Idle machines that their owners should return. */
+    var retire: List<MachineName> = emptyList()
+        private set
+
+    fun start() {
+        if (leadership.leading && types.known) round() else forget()
+        loop.after(PACE) { start() }
+    }
+
+    /** What a former spell of leading left is out of date. */
+    private fun forget() {
+        listedAt = Moment.NEVER
+        hired.clear()
+        retire = emptyList()
+        heardAt.clear()
+        levelAt = Moment.NEVER
+    }
+
+    private fun round() {
+        val now = loop.now()
+        if (!listing && now >= listedAt + LIST_PACE && budget.tryTake(1, now)) list()
+        val rooms = rooms()
+        rooms.keys.forEach { heardAt[it] = now }
+        updateLevels(now)
+        if (listedAt == Moment.NEVER) return
+        clearOut(now)
+        // A new lead's list may lack what its predecessor has just rented.
+        if (leadership.leadingForS < 2 * listLagS && replica.cursor.number > FIRST_REVISIONS) return
+        adjust(now, rooms)
+    }
+
+    private fun rooms(): Map<MachineName, MachineRoom> {
+        val rooms = HashMap<MachineName, MachineRoom>()
+        for (record in replica.blocks.values) {
+            val note = noteOf(record.value.member) ?: continue
+            for (block in note.blocks) block.machines.forEach { rooms[it.name] = it }
+        }
+        return rooms
+    }
+
+    private fun list(from: String = "", gathered: HashMap<MachineName, ListedMachine> = HashMap()) {
+        listing = true
+        val request = Request(Method.GET, "/machines?from=$from&limit=${CloudWire.LIST_LIMIT}")
+        http.call(cloud, request, LIST_TIMEOUT) { reply ->
+            val page = reply?.takeIf { it.status == OK }?.let { CloudWire.parsePage(Json.read(it.body)) }
+            if (page == null) {
+                listing = false
+                return@call
+            }
+            page.machines.forEach { gathered[it.name] = it }
+            if (page.more && page.machines.isNotEmpty()) {
+                list(page.machines.last().name.text, gathered)
+            } else {
+                listing = false
+                listedAt = loop.now()
+                listed = gathered
+                gathered.keys.forEach(hired::remove)
+            }
+        }
+    }
+
+    /** Demand comes in bursts; the level follows it up at once and down slowly. */
+    private fun updateLevels(now: Moment) {
+        val demand = DemandEstimate.of(replica.jobs.values, teams, loop.wallMillis())
+        val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / FADE_S)
+        ordinaryLevel = max(demand.ordinary, ordinaryLevel * fade)
+        flexibleLevel = max(demand.flexible, flexibleLevel * fade)
+        levelAt = now
+    }
+
+    private fun isDead(machine: ListedMachine, now: Moment): Boolean {
+        val bootS = types[machine.type]?.bootS ?: 0.0
+        return when (machine.status) {
+            MachineStatus.FAILED -> true
+            MachineStatus.BOOTING -> machine.ageS > bootS * LONGEST_BOOTS + BOOT_SLACK_S
+            MachineStatus.RUNNING -> {
+                val block: BlockName = blockMap.of(machine.name, machine.zone)
+                val ownerHeard = replica.blocks[block]?.let { noteOf(it.value.member) }?.blocks?.any { it.block == block } ?: false
+                val heard = heardAt.getOrPut(machine.name) { now }
+                if (!ownerHeard) heardAt[machine.name] = now
+                machine.ageS > bootS && now.secondsSince(heard) > UNHEARD_S
+            }
+        }
+    }
+
+    /** Deleting is always safe: whatever was on the machine is gone with it, and its owner waits for the lease. */
+    private fun clearOut(now: Moment) {
+        deletedAt.values.removeIf { now >= it + AGAIN }
+        val dead = listed.values.filter { it.name !in deletedAt && isDead(it, now) }.map { it.name }.take(CloudWire.MOST_DELETED)
+        if (dead.isEmpty() || !budget.tryTake(1, now)) return
+        dead.forEach { deletedAt[it] = now }
+        log.info("deleting dead machines {}", dead)
+        http.call(cloud, Request(Method.POST, "/machines/delete", CloudWire.deletion(dead)), LIST_TIMEOUT) { reply ->
+            if (reply?.status != OK) dead.forEach(deletedAt::remove)
+        }
+    }
+
+    private class Stock(var ordinary: Double, var spot: Double)
+
+    private fun adjust(now: Moment, rooms: Map<MachineName, MachineRoom>) {
+        hired.values.removeIf { now >= it.at + (listLagS * LAGS_TO_BE_LISTED + 1).seconds }
+        val counts = HashMap<Kind, Int>()
+        val stock = Stock(0.0, 0.0)
+        for (machine in listed.values) {
+            val kind = Kind(machine.type, machine.zone, machine.spot)
+            if (machine.name in deletedAt || isDead(machine, now)) continue
+            if (rooms[machine.name]?.usable == false && now.secondsSince(heardAt[machine.name] ?: now) < UNHEARD_S) continue
+            count(kind, 1, counts, stock)
+        }
+        for (hire in hired.values) count(hire.kind, 1, counts, stock)
+        for ((kind, number) in pending) count(kind, number, counts, stock)
+
+        val ordinaryTarget = ordinaryLevel * tuning.headroom
+        val flexibleTarget = flexibleLevel * tuning.headroom
+        var ordinaryMissing = ordinaryTarget - stock.ordinary
+        val spare = max(0.0, -ordinaryMissing)
+        var flexibleMissing = flexibleTarget - stock.spot - spare
+        if (flexibleMissing > 0) flexibleMissing -= rent(flexibleMissing, spot = true, counts, now)
+        if (flexibleMissing > 0) ordinaryMissing = max(0.0, ordinaryMissing) + flexibleMissing
+        if (ordinaryMissing > 0) rent(ordinaryMissing, spot = false, counts, now)
+        retire = if (flexibleMissing > 0 || ordinaryMissing > 0) unusable(rooms) else idle(rooms, stock, ordinaryTarget, flexibleTarget)
+    }
+
+    private fun count(kind: Kind, number: Int, counts: HashMap<Kind, Int>, stock: Stock) {
+        counts.merge(kind, number, Int::plus)
+        val cpus = (types[kind.type]?.capacity?.cpus ?: 0.0) * number
+        if (kind.spot) stock.spot += cpus else stock.ordinary += cpus
+    }
+
+    /** Rents about [cpus]; returns how many were asked for. */
+    private fun rent(cpus: Double, spot: Boolean, counts: HashMap<Kind, Int>, now: Moment): Double {
+        var missing = cpus
+        val kinds = types.all
+            .flatMap { type -> type.zones.map { Kind(type.name, it, spot) to type } }
+            .filter { (kind, _) -> kind !in pending && now >= (refusedUntil[kind] ?: Moment.NEVER) }
+            .sortedWith(compareBy({ pricePerCpu(it.second, spot) }, { counts[it.first] ?: 0 }))
+        var asked = 0.0
+        for ((kind, type) in kinds) {
+            if (missing <= 0) break
+            val share = kinds.count { it.second === type }
+            val number = ceil(missing / type.capacity.cpus / share).toInt().coerceIn(1, CloudWire.MOST_RENTED)
+            if (!budget.tryTake(1, now)) break
+            hire(kind, number)
+            missing -= number * type.capacity.cpus
+            asked += number * type.capacity.cpus
+        }
+        return asked
+    }
+
+    private fun pricePerCpu(type: MachineType, spot: Boolean) = (if (spot) type.spotPrice else type.price) / type.capacity.cpus
+
+    private fun hire(kind: Kind, number: Int) {
+        val incarnation = membership.incarnation ?: return
+        // The incarnation is never given twice, so no other life and no other controller uses this name.
+        val name = "r-$incarnation-${++rentals}"
+        pending[kind] = number
+        ask(name, kind, number, TRIES)
+    }
+
+    private fun ask(name: String, kind: Kind, number: Int, tries: Int) {
+        val body = CloudWire.rental(name, kind.type, kind.zone, kind.spot, number)
+        http.call(cloud, Request(Method.POST, "/machines", body), RENT_TIMEOUT) { reply ->
+            val rented = reply?.takeIf { it.status == OK }?.let { CloudWire.parseRented(Json.read(it.body)) }
+            when {
+                rented != null -> {
+                    log.info("rented {} of {} {}", rented.size, number, kind)
+                    rented.forEach { hired[it] = Hired(kind, loop.now()) }
+                    pending -= kind
+                    if (rented.size < number) refusedUntil[kind] = loop.now() + REFUSED
+                }
+                // The same name again: if the first request was carried out after all, nothing more is rented.
+                (reply == null || reply.status == TOO_MANY) && tries > 0 -> loop.after(RETRY) { ask(name, kind, number, tries - 1) }
+                else -> {
+                    log.info("no {} to be had: {}", kind, reply?.status)
+                    pending -= kind
+                    refusedUntil[kind] = loop.now() + REFUSED
+                }
+            }
+        }
+    }
+
+    private fun unusable(rooms: Map<MachineName, MachineRoom>) = rooms.values.filter { !it.usable && it.idleMs > UNUSABLE_IDLE_MS }.map { it.name }
+
+    private fun idle(rooms: Map<MachineName, MachineRoom>, stock: Stock, ordinaryTarget: Double, flexibleTarget: Double): List<MachineName> {
+        val chosen = ArrayList<MachineName>()
+        chosen += unusable(rooms)
+        val candidates = rooms.values
+            .filter { it.usable && it.idleMs >= tuning.idleBeforeReturn.inWholeMilliseconds }
+            .sortedWith(compareBy({ it.spot }, { it.name.text }))
+        for (room in candidates) {
+            val cpus = types[room.type]?.capacity?.cpus ?: continue
+            val ordinary = stock.ordinary - if (room.spot) 0.0 else cpus
+            val spot = stock.spot - if (room.spot) cpus else 0.0
+            val enough = ordinary >= ordinaryTarget && spot + (ordinary - ordinaryTarget) >= flexibleTarget
+            if (!enough) continue
+            stock.ordinary = ordinary
+            stock.spot = spot
+            chosen += room.name
+        }
+        return chosen
+    }
+
+    private companion object {
+        const val OK = 200
+        const val TOO_MANY = 429
+        const val FADE_S = 60.0
+        const val LONGEST_BOOTS = 3.0
+        const val BOOT_SLACK_S = 20.0
+        const val UNHEARD_S = 40.0
+        const val UNUSABLE_IDLE_MS = 3000L
+        const val LAGS_TO_BE_LISTED = 2.0
+        const val FIRST_REVISIONS = 200L
+        const val TRIES = 10
+        val PACE = 500.milliseconds
+        val LIST_PACE = 2.seconds
+        val LIST_TIMEOUT = 5.seconds
+        val RENT_TIMEOUT = 3.seconds
+        val RETRY = 1.seconds
+        val REFUSED = 12.seconds
+        val AGAIN = 15.seconds
+        val log = LoggerFactory.getLogger("fleet")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/JobDesk.kt
@@ -0,0 +1,166 @@
+package copperglade.coordination
+
+import copperglade.protocol.BadField
+import copperglade.protocol.JobAnswer
+import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
+import copperglade.protocol.JobSpec
+import copperglade.protocol.JobSpecCodec
+import copperglade.protocol.JobStatus
+import copperglade.protocol.Json
+import copperglade.protocol.ParsedJob
+import copperglade.protocol.Stamp
+import copperglade.protocol.Team
+import copperglade.protocol.TeamName
+import copperglade.protocol.UserWire
+import copperglade.protocol.text
+import copperglade.storage.Condition
+import copperglade.storage.Job
+import copperglade.storage.Keys
+import copperglade.storage.LiveRecord
+import copperglade.storage.ReadOutcome
+import copperglade.storage.RecordCodec
+import copperglade.storage.Replica
+import copperglade.storage.ReplicaState
+import copperglade.storage.StateClient
+import copperglade.storage.Transaction
+import copperglade.storage.TransactionOutcome
+import copperglade.storage.Urgency
+import copperglade.storage.Write
+import copperglade.transport.EventLoop
+import copperglade.transport.Reply
+import copperglade.transport.Responder
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Answers users. Nothing is said of a job that is not durable, or that any later answer could contradict. */
+class JobDesk(
+    private val loop: EventLoop,
+    private val store: StateClient,
+    private val replica: Replica,
+    private val types: TypeBook,
+    private val teams: Map<TeamName, Team>,
+) {
+    fun submit(body: ByteArray, responder: Responder) {
+        val root = Json.readStrict(body)
+        val id = root?.takeIf { it.isObject }?.text("nameId")?.let { JobId.parse(it) }
+        val parsed = JobSpecCodec.parse(root)
+        if (id == null) return responder.send(badRequest((parsed as ParsedJob.Bad).why))
+        if (replica.jobs[id]?.live != null || replica.endOf(id) != null) return status(id, responder) { answerKnown(it, responder) }
+        val refusal = when (parsed) {
+            is ParsedJob.Bad -> badRequest(parsed.why)
+            is ParsedJob.Good -> {
+                if (!types.known || replica.state != ReplicaState.CURRENT || store.crowded()) return responder.send(later())
+                impossible(parsed.spec)?.let { Reply(UNPROCESSABLE, UserWire.error(it)) }
+            }
+        }
+        if (refusal != null) {
+            // A known job is answered with its state whatever else the repeat says.
+            status(id, responder) { if (it == null) responder.send(refusal) else answerKnown(it, responder) }
+        } else {
+            accept((parsed as ParsedJob.Good).spec, responder, TRIES)
+        }
+    }
+
+    private fun accept(spec: JobSpec, responder: Responder, tries: Int) {
+        val record = LiveRecord(spec, loop.wallMillis(), cancelled = false)
+        val transaction = Transaction(
+            listOf(Condition(Keys.live(spec.id), Stamp.ABSENT), Condition(Keys.over(spec.id), Stamp.ABSENT)),
+            listOf(Write.Set(Keys.live(spec.id), RecordCodec.encode(record))),
+        )
+        store.commit(Urgency.USER, transaction) { outcome ->
+            when (outcome) {
+                is TransactionOutcome.Applied -> {
+                    replica.applied(transaction, outcome.stamp)
+                    responder.send(Reply(CREATED, UserWire.short(spec.id, JobStatus.QUEUED)))
+                }
+                is TransactionOutcome.Conflict -> status(spec.id, responder) { answerKnown(it, responder) }
+                TransactionOutcome.Refused -> {
+                    if (tries > 0) loop.after(RETRY) { accept(spec, responder, tries - 1) } else responder.send(later())
+                }
+                TransactionOutcome.Unknown, TransactionOutcome.NoSuchPermit -> responder.send(later())
+            }
+        }
+    }
+
+    /** Why the job can never run, or null. */
+    private fun impossible(spec: JobSpec): String? {
+        val team = teams[spec.team] ?: return "crew: unknown team"
+        val fits = types.all.any { type ->
+            spec.request.fitsIn(type.capacity) && type.zones.any { spec.allows(type.name, it, spot = false) }
+        }
+        if (!fits) return "vcpus, gpus, memoryGb, fleets, depot: no machine type fits a task"
+        val atOnce = spec.request * if (spec.kind == JobKind.ARRAY) 1 else spec.tasks
+        return if (team.allows(atOnce.cpus, atOnce.gpus)) null else "crew: more than the team's limit"
+    }
+
+    fun poll(id: JobId, responder: Responder) = status(id, responder) { answer ->
+        responder.send(if (answer == null) unknown() else Reply(OK, UserWire.full(answer)))
+    }
+
+    fun cancel(id: JobId, responder: Responder) = cancel(id, responder, TRIES)
+
+    private fun cancel(id: JobId, responder: Responder, tries: Int): Unit = status(id, responder) { answer ->
+        val live = replica.jobs[id]?.live
+        when {
+            answer == null -> responder.send(unknown())
+            answer.status.final -> responder.send(Reply(OK, UserWire.short(id, answer.status)))
+            live == null || tries == 0 -> responder.send(later())
+            else -> {
+                val record = LiveRecord(live.value.spec, live.value.acceptedAtMs, cancelled = true)
+                val transaction = Transaction(
+                    listOf(Condition(Keys.live(id), live.stamp)),
+                    listOf(Write.Set(Keys.live(id), RecordCodec.encode(record))),
+                )
+                store.commit(Urgency.USER, transaction) { outcome ->
+                    if (outcome is TransactionOutcome.Applied) replica.applied(transaction, outcome.stamp)
+                    // Tasks may have become done just before the mark, so it is read again what the job has become.
+                    if (outcome == TransactionOutcome.Refused) responder.send(later()) else cancel(id, responder, tries - 1)
+                }
+            }
+        }
+    }
+
+    /** Calls back with the job's present state, or null where no such job was ever accepted; else answers 503. */
+    private fun status(id: JobId, responder: Responder, done: (JobAnswer?) -> Unit) {
+        replica.endOf(id)?.let { return done(JobAnswer(id, it.status, it.tasksDone, 0)) }
+        replica.fresh { known ->
+            val job = replica.jobs[id]
+            val end = replica.endOf(id)
+            when {
+                !known -> responder.send(later())
+                end != null -> done(JobAnswer(id, end.status, end.tasksDone, 0))
+                job?.live != null -> done(answerOf(job))
+                else -> replica.readEnd(id) { outcome ->
+                    val found = replica.endOf(id)
+                    when {
+                        outcome == ReadOutcome.Failed -> responder.send(later())
+                        found != null -> done(JobAnswer(id, found.status, found.tasksDone, 0))
+                        else -> done(null)
+                    }
+                }
+            }
+        }
+    }
+
+    private fun answerOf(job: Job) = JobAnswer(job.id, job.status(), job.done.cardinality(), job.assignments().count())
+
+    private fun answerKnown(answer: JobAnswer?, responder: Responder) =
+        responder.send(if (answer == null) later() else Reply(OK, UserWire.short(answer.id, answer.status)))
+
+    private fun badRequest(why: BadField) = Reply(BAD_REQUEST, UserWire.error("${why.field}: ${why.problem}", why.field))
+
+    private fun unknown() = Reply(NOT_FOUND, UserWire.error("no such job"))
+
+    companion object {
+        private const val OK = 200
+        private const val CREATED = 201
+        private const val BAD_REQUEST = 400
+        private const val NOT_FOUND = 404
+        private const val UNPROCESSABLE = 422
+        private const val UNAVAILABLE = 503
+        private const val TRIES = 2
+        private val RETRY = 100.milliseconds
+
+        fun later() = Reply(UNAVAILABLE, UserWire.error("not now, ask again"), retryAfterS = 1)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Leadership.kt
@@ -0,0 +1,121 @@
+package copperglade.coordination
+
+import copperglade.protocol.Moment
+import copperglade.protocol.Stamp
+import copperglade.protocol.secondsSince
+import copperglade.storage.Condition
+import copperglade.storage.Keys
+import copperglade.storage.LeadRecord
+import copperglade.storage.RecordCodec
+import copperglade.storage.Replica
+import copperglade.storage.StateClient
+import copperglade.storage.Transaction
+import copperglade.storage.TransactionOutcome
+import copperglade.storage.Urgency
+import copperglade.storage.Write
+import copperglade.transport.EventLoop
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+enum class LeadState { FOLLOWING, CAMPAIGNING, CATCHING_UP, LEADING }
+
+/**
+ * Who leads. The lead's key hangs on a hold of its own, much shorter than a member's, since a lead that is gone holds
+ * up every new task; nothing unsafe follows from two leads, as each write of a lead is conditional on the key's stamp.
+ */
+class Leadership(
+    private val loop: EventLoop,
+    private val store: StateClient,
+    private val replica: Replica,
+    private val membership: Membership,
+    private val holdLength: Duration,
+) {
+    private var hold = Hold(loop, store, holdLength)
+    private var since = Moment.NEVER
+
+    var state = LeadState.FOLLOWING
+        private set
+
+    /** The stamp of the lead's key, condition of everything that the lead writes. */
+    var stamp = Stamp.ABSENT
+        private set
+
+    val leading: Boolean get() = state == LeadState.LEADING && hold.alive && membership.mayAct
+    val condition: Condition get() = Condition(Keys.LEAD, stamp)
+    val leadingForS: Double get() = loop.now().secondsSince(since)
+
+    fun start() = tick()
+
+    private fun moveTo(next: LeadState, why: String) {
+        if (state == next) return
+        log.info("lead {} -> {}: {}", state, next, why)
+        state = next
+    }
+
+    private fun tick() {
+        when (state) {
+            LeadState.FOLLOWING -> if (vacant()) campaign()
+            LeadState.LEADING -> {
+                if (replica.lead?.stamp != stamp) {
+                    stepDown("the key is no longer ours")
+                } else {
+                    hold.extend { kept -> if (!kept) stepDown("the hold ran out") }
+                }
+            }
+            LeadState.CAMPAIGNING, LeadState.CATCHING_UP -> Unit
+        }
+        loop.after(if (state == LeadState.LEADING) holdLength / EXTENDS_PER_HOLD else LOOK) { tick() }
+    }
+
+    /** Nobody leads, or the key was left behind by an earlier life of this very member. */
+    private fun vacant(): Boolean {
+        if (!membership.mayAct) return false
+        val present = replica.lead ?: return true
+        return present.value.member == membership.self && present.value.incarnation != membership.incarnation
+    }
+
+    private fun campaign() {
+        val incarnation = membership.incarnation ?: return
+        moveTo(LeadState.CAMPAIGNING, "no lead")
+        hold = Hold(loop, store, holdLength)
+        hold.open { opened ->
+            val permit = hold.permit
+            if (!opened || permit == null) return@open stepDown("no hold")
+            val before = replica.lead?.stamp ?: Stamp.ABSENT
+            if (!vacant()) return@open stepDown("somebody else was faster")
+            val record = RecordCodec.encode(LeadRecord(membership.self, incarnation))
+            val transaction = Transaction(
+                listOf(Condition(Keys.LEAD, before), Condition(Keys.member(membership.self), membership.stamp)),
+                listOf(Write.Set(Keys.LEAD, record, permit)),
+            )
+            store.commit(Urgency.HOLD, transaction) { outcome ->
+                if (outcome !is TransactionOutcome.Applied) return@commit stepDown("lost the campaign")
+                stamp = outcome.stamp
+                replica.applied(transaction, outcome.stamp)
+                catchUp()
+            }
+        }
+    }
+
+    /** What an earlier lead wrote must be known before the first decision: limits are counted over all of it. */
+    private fun catchUp() {
+        moveTo(LeadState.CATCHING_UP, "elected with stamp $stamp")
+        replica.fresh { known ->
+            if (!known) return@fresh stepDown("could not catch up")
+            since = loop.now()
+            moveTo(LeadState.LEADING, "caught up")
+        }
+    }
+
+    private fun stepDown(why: String) {
+        hold.end()
+        moveTo(LeadState.FOLLOWING, why)
+    }
+
+    private companion object {
+        const val EXTENDS_PER_HOLD = 5
+        val LOOK = 100.milliseconds
+        val log = LoggerFactory.getLogger("lead")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Membership.kt
@@ -0,0 +1,175 @@
+package copperglade.coordination
+
+import copperglade.protocol.Incarnation
+import copperglade.protocol.MemberId
+import copperglade.protocol.Moment
+import copperglade.protocol.Permit
+import copperglade.protocol.Stamp
+import copperglade.storage.Condition
+import copperglade.storage.HoldOutcome
+import copperglade.storage.Keys
+import copperglade.storage.MemberRecord
+import copperglade.storage.RecordCodec
+import copperglade.storage.Replica
+import copperglade.storage.StateClient
+import copperglade.storage.Transaction
+import copperglade.storage.TransactionOutcome
+import copperglade.storage.Urgency
+import copperglade.storage.Write
+import copperglade.transport.EventLoop
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * A hold, and our own reckoning of how long it surely lives: from when the last successful request was sent, less
+ * the drift of the clocks and a margin. Whoever acts on the hold asks [alive] at the moment of acting.
+ */
+class Hold(private val loop: EventLoop, private val store: StateClient, private val length: Duration) {
+    var permit: Permit? = null
+        private set
+    private var surelyUntil = Moment.NEVER
+
+    val alive: Boolean get() = permit != null && loop.now() < surelyUntil
+
+    fun open(done: (Boolean) -> Unit) {
+        val sent = loop.now()
+        store.openHold(length) { outcome ->
+            if (outcome is HoldOutcome.Granted) {
+                permit = outcome.permit
+                renewed(sent)
+            }
+            done(outcome is HoldOutcome.Granted)
+        }
+    }
+
+    /** [done] gets false once the service no longer knows the hold. */
+    fun extend(done: (Boolean) -> Unit) {
+        val extended = permit ?: return
+        val sent = loop.now()
+        store.extendHold(extended) { outcome ->
+            if (permit != extended) return@extendHold
+            if (outcome == HoldOutcome.Extended) renewed(sent)
+            if (outcome == HoldOutcome.Gone) {
+                permit = null
+                done(false)
+            } else {
+                done(true)
+            }
+        }
+    }
+
+    fun end() {
+        permit?.let { store.endHold(it) }
+        permit = null
+    }
+
+    private fun renewed(sent: Moment) {
+        val until = sent + length * (1.0 - DRIFT) - MARGIN
+        if (until > surelyUntil) surelyUntil = until
+    }
+
+    companion object {
+        /** Clocks drift apart by at most 0.05%; twice that is allowed for. */
+        const val DRIFT = 0.001
+        private val MARGIN = 100.milliseconds
+    }
+}
+
+enum class MemberState { OUTSIDE, JOINING, MEMBER }
+
+/** This process's place among the controllers: a hold, and `member/<id>` attached to it. */
+class Membership(
+    private val loop: EventLoop,
+    private val store: StateClient,
+    private val replica: Replica,
+    val self: MemberId,
+    private val holdLength: Duration,
+) {
+    private var hold = Hold(loop, store, holdLength)
+
+    var state = MemberState.OUTSIDE
+        private set
+    var stamp = Stamp.ABSENT
+        private set
+
+    /** The hold's number stands for this life of the process: the state service gives none twice. */
+    val incarnation: Incarnation? get() = hold.permit?.takeIf { state == MemberState.MEMBER }?.let { Incarnation(it.number) }
+
+    /**
+     * Whether this process may act at this very moment. What it knows must not be older than a hold either: one that
+     * was refused by the state service and is served again may renew its hold before it has heard of a cancellation.
+     */
+    val mayAct: Boolean
+        get() = state == MemberState.MEMBER && hold.alive && loop.now() < replica.asOf + holdLength
+
+    /** Called whenever a life of this member begins or ends. */
+    var onChange: () -> Unit = {}
+
+    fun start() {
+        join()
+        extendLater()
+    }
+
+    private fun moveTo(next: MemberState, why: String) {
+        if (state == next) return
+        log.info("membership {} -> {}: {}", state, next, why)
+        state = next
+        onChange()
+    }
+
+    private fun join() {
+        if (state != MemberState.OUTSIDE) return
+        moveTo(MemberState.JOINING, "asking for a hold")
+        hold = Hold(loop, store, holdLength)
+        hold.open { if (it) register() else retry("no hold") }
+    }
+
+    /** Replaces the key of our predecessor, who is dead: a process of this name runs only once. */
+    private fun register() {
+        val permit = hold.permit ?: return retry("hold lost")
+        replica.fresh { known ->
+            if (!known) return@fresh retry("state service silent")
+            val before = replica.members[self]?.stamp ?: Stamp.ABSENT
+            val record = MemberRecord(Incarnation(permit.number))
+            val transaction = Transaction(
+                listOf(Condition(Keys.member(self), before)),
+                listOf(Write.Set(Keys.member(self), RecordCodec.encode(record), permit)),
+            )
+            store.commit(Urgency.HOLD, transaction) { outcome ->
+                if (outcome is TransactionOutcome.Applied) {
+                    stamp = outcome.stamp
+                    replica.applied(transaction, outcome.stamp)
+                    moveTo(MemberState.MEMBER, "incarnation $permit")
+                } else {
+                    retry("could not register")
+                }
+            }
+        }
+    }
+
+    private fun retry(why: String) {
+        hold.end()
+        moveTo(MemberState.OUTSIDE, why)
+        loop.after(RETRY) { join() }
+    }
+
+    private fun extendLater() {
+        val pace = if (hold.alive) holdLength / EXTENDS_PER_HOLD else RETRY
+        loop.after(pace) {
+            if (state == MemberState.MEMBER) hold.extend { kept -> if (!kept) lost() }
+            extendLater()
+        }
+    }
+
+    private fun lost() {
+        moveTo(MemberState.OUTSIDE, "the hold ran out")
+        join()
+    }
+
+    private companion object {
+        const val EXTENDS_PER_HOLD = 8
+        val RETRY = 300.milliseconds
+        val log = LoggerFactory.getLogger("member")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -0,0 +1,201 @@
+package copperglade.coordination
+
+import copperglade.protocol.Baton
+import copperglade.protocol.BlockName
+import copperglade.protocol.BlockRoom
+import copperglade.protocol.CloudWire
+import copperglade.protocol.Endpoint
+import copperglade.protocol.MachineName
+import copperglade.protocol.MemberId
+import copperglade.protocol.Report
+import copperglade.protocol.Stamp
+import copperglade.protocol.WorkerWire
+import copperglade.storage.BlockRecord
+import copperglade.storage.Condition
+import copperglade.storage.Keys
+import copperglade.storage.RecordCodec
+import copperglade.storage.ReplicaListener
+import copperglade.storage.StateClient
+import copperglade.storage.TokenBucket
+import copperglade.storage.Touched
+import copperglade.storage.Transaction
+import copperglade.storage.TransactionOutcome
+import copperglade.storage.Urgency
+import copperglade.storage.Write
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The blocks that this process owns, kept in line with the block records. */
+class Owner(
+    private val context: OwnerContext,
+    private val store: StateClient,
+    private val blockMap: BlockMap,
+    private val cloud: Endpoint,
+    private val cloudBudget: TokenBucket,
+) : ReplicaListener {
+    private val loop = context.loop
+    private val replica = context.replica
+    private val membership = context.membership
+    private val owned = HashMap<BlockName, BlockOwner>()
+    private val outcomes = OutcomeLog(loop, store, replica)
+    private val keyInFlight = HashSet<BlockName>()
+
+    fun start() {
+        outcomes.start()
+        tickLater()
+    }
+
+    private fun tickLater() {
+        loop.after(TICK) {
+            owned.values.toList().forEach {
+                it.tick()
+                if (it.needsNewBaton()) renew(it)
+            }
+            tickLater()
+        }
+    }
+
+    override fun changed(touched: Touched) {
+        if (touched.standing) reconcile()
+        for (id in touched.jobs) {
+            val job = replica.jobs[id]
+            for (block in owned.values) if (job == null) block.drop(id) else block.sync(job)
+        }
+    }
+
+    /** Opens and closes blocks as the records say. */
+    fun reconcile() {
+        val incarnation = membership.incarnation
+        for (name in blockMap.all) {
+            val record = replica.blocks[name]
+            val present = owned[name]
+            val mine = record != null && incarnation != null && record.value == BlockRecord(membership.self, incarnation)
+            val baton = record?.let { Baton(it.stamp.number) }
+            if (present != null && (!mine || !present.holds(baton!!)) && name !in keyInFlight) close(present)
+            if (mine && name !in owned && name !in keyInFlight) open(name, baton!!)
+        }
+    }
+
+    private fun open(name: BlockName, baton: Baton) {
+        log.info("block {} is ours with baton {}", name, baton)
+        val block = BlockOwner(context, name, baton, outcomes)
+        owned[name] = block
+        openOnceFresh(block)
+    }
+
+    /** Outcomes that the former owner wrote must be known before anything is started. */
+    private fun openOnceFresh(block: BlockOwner) {
+        replica.fresh { known ->
+            if (owned[block.name] !== block) return@fresh
+            if (known) block.open() else loop.after(RETRY) { openOnceFresh(block) }
+        }
+    }
+
+    private fun close(block: BlockOwner) {
+        log.info("block {} is no longer ours", block.name)
+        owned.remove(block.name)
+        outcomes.forget(block)
+    }
+
+    /** Writes the key anew to get a new baton, which ends whatever late copies of our own commands could do. */
+    private fun renew(block: BlockOwner) {
+        val record = membership.incarnation?.let { BlockRecord(membership.self, it) } ?: return
+        if (!keyInFlight.add(block.name)) return
+        rewrite(block.name, block.baton, Write.Set(Keys.block(block.name), RecordCodec.encode(record))) { outcome ->
+            if (outcome is TransactionOutcome.Applied) {
+                log.info("block {} has a new baton {}: a start of unknown outcome was in the way", block.name, outcome.stamp)
+                block.renew(Baton(outcome.stamp.number))
+            }
+            settleKey(block.name)
+        }
+    }
+
+    /**
+     * Gives blocks up that the lead would rather see elsewhere. We stop acting before we say so. Where the outcome
+     * stays unknown, the drop might be applied much later, while we act again: the key is written anew first.
+     */
+    fun release(names: List<BlockName>) {
+        for (name in names) {
+            val block = owned[name] ?: continue
+            if (!block.open || !keyInFlight.add(name)) continue
+            close(block)
+            rewrite(name, block.baton, Write.Drop(Keys.block(name))) { outcome ->
+                if (outcome is TransactionOutcome.Applied) settleKey(name) else takeBack(name, block.baton)
+            }
+        }
+    }
+
+    private fun takeBack(name: BlockName, baton: Baton) {
+        val record = membership.incarnation?.let { BlockRecord(membership.self, it) } ?: return settleKey(name)
+        rewrite(name, baton, Write.Set(Keys.block(name), RecordCodec.encode(record))) { outcome ->
+            when (outcome) {
+                is TransactionOutcome.Applied, is TransactionOutcome.Conflict -> settleKey(name)
+                else -> loop.after(RETRY) { takeBack(name, baton) }
+            }
+        }
+    }
+
+    private fun rewrite(name: BlockName, baton: Baton, write: Write, done: (TransactionOutcome) -> Unit) {
+        val transaction = Transaction(listOf(Condition(Keys.block(name), Stamp(baton.number))), listOf(write))
+        store.commit(Urgency.HOLD, transaction) { outcome ->
+            done(outcome)
+            if (outcome is TransactionOutcome.Applied) replica.applied(transaction, outcome.stamp)
+        }
+    }
+
+    private fun settleKey(name: BlockName) = replica.fresh {
+        keyInFlight -= name
+        reconcile()
+    }
+
+    fun checkin(report: Report): Reply {
+        val name = blockMap.of(report.machine, report.zone)
+        val block = owned[name]
+        if (block != null && membership.mayAct) return Reply(OK, block.checkin(report))
+        return Reply(MISDIRECTED, WorkerWire.sendOn(ownerElsewhere(name)))
+    }
+
+    private fun ownerElsewhere(name: BlockName): MemberId? {
+        val record = replica.blocks[name]?.value ?: return null
+        val alive = replica.members[record.member]?.value?.incarnation == record.incarnation
+        return record.member.takeIf { alive && it != membership.self }
+    }
+
+    fun rooms(): List<BlockRoom> = owned.values.filter { it.open }.map { it.room() }
+
+    /** Returns machines that the lead no longer needs, provided that nothing is on them. */
+    fun retire(names: List<MachineName>) {
+        if (!membership.mayAct) return
+        val empty = names.mapNotNull { name -> owned.values.firstNotNullOfOrNull { block -> block.machines[name]?.let { block to it } } }
+            .filter { (_, machine) -> machine.runs.isEmpty() && machine.boxes.isEmpty() && !machine.commandInFlight && !machine.deleting }
+            .take(CloudWire.MOST_DELETED)
+        if (empty.isEmpty() || !cloudBudget.tryTake(1, loop.now())) return
+        empty.forEach { (_, machine) ->
+            machine.deleting = true
+            // For good: a deletion whose answer is lost may still be carried out.
+            machine.draining = true
+        }
+        val body = CloudWire.deletion(empty.map { it.second.name })
+        context.http.call(cloud, Request(Method.POST, "/machines/delete", body), DELETE_TIMEOUT) { reply ->
+            val deleted = reply?.status == OK
+            for ((block, machine) in empty) {
+                machine.deleting = false
+                if (deleted && block.machines[machine.name] === machine) block.remove(machine)
+            }
+            if (deleted) log.info("returned {}", empty.map { it.second.name })
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val MISDIRECTED = 421
+        val TICK = 100.milliseconds
+        val RETRY = 200.milliseconds
+        val DELETE_TIMEOUT = 5.seconds
+        val log = LoggerFactory.getLogger("owner")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -0,0 +1,103 @@
+package copperglade.coordination
+
+import copperglade.protocol.JobSpec
+import copperglade.protocol.MachineName
+import copperglade.protocol.Moment
+import copperglade.protocol.TaskId
+import copperglade.protocol.Trip
+import org.slf4j.LoggerFactory
+
+enum class RunState {
+    /** Assigned before our grant and not found yet: it may be on a machine that has not been heard. */
+    MISSING,
+
+    /** Surely on no machine; to be started. */
+    WAITING,
+
+    /** A start is on its way. */
+    STARTING,
+    FETCHING,
+    RUNNING,
+
+    /** A halt is on its way, or the task is saving. */
+    STOPPING,
+
+    /** Completed; to be recorded. */
+    DONE,
+
+    /** Surely on no machine; to be given back to the lead. */
+    GONE,
+}
+
+enum class StopReason { CANCELLED, RECALLED, PREEMPTED, DRAINED, RESTARTED }
+
+/** A task that is assigned to a block, as its owner follows it. */
+class Run(val task: TaskId, val spec: JobSpec, val generation: Int, val acceptedAtMs: Long, first: RunState, now: Moment) {
+    var state = first
+        private set
+    var since = now
+        private set
+    var machine: Machine? = null
+        private set
+    var trip = Trip(0)
+        private set
+
+    /** Whether a report has shown this attempt on its machine. */
+    var seen = false
+    var runningSince: Moment? = null
+        private set
+    var stopReason: StopReason? = null
+        private set
+    var startSentAt = Moment.NEVER
+    var haltSentAt = Moment.NEVER
+
+    /** Not to be started before; set after failures. */
+    var notBefore = Moment.NEVER
+    val avoid = HashSet<MachineName>()
+
+    /** Where a straggler is to run again. */
+    var target: MachineName? = null
+    var restarted = false
+
+    /** Whether it may be on its machine, or come to be. */
+    val onMachine: Boolean
+        get() = when (state) {
+            RunState.STARTING, RunState.FETCHING, RunState.RUNNING, RunState.STOPPING -> true
+            RunState.MISSING, RunState.WAITING, RunState.DONE, RunState.GONE -> false
+        }
+
+    fun moveTo(next: RunState, why: String, now: Moment) {
+        if (next == state) return
+        log.debug("{} {} -> {} on {}: {}", task, state, next, machine?.name, why)
+        if (next == RunState.RUNNING && runningSince == null) runningSince = now
+        state = next
+        since = now
+    }
+
+    fun bind(to: Machine, attempt: Trip) {
+        machine = to
+        trip = attempt
+        to.runs += this
+        seen = false
+        runningSince = null
+        startSentAt = Moment.NEVER
+        haltSentAt = Moment.NEVER
+    }
+
+    fun unbind() {
+        machine?.runs?.remove(this)
+        machine = null
+    }
+
+    fun stopFor(reason: StopReason) {
+        stopReason = reason
+    }
+
+    fun clearStop() {
+        stopReason = null
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("run")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
@@ -0,0 +1,87 @@
+package copperglade.coordination
+
+import copperglade.bookkeeping.Factors
+import copperglade.bookkeeping.Option
+import copperglade.bookkeeping.RiskAssessment
+import copperglade.bookkeeping.Verdict
+import copperglade.protocol.JobKind
+import copperglade.protocol.MachineName
+import copperglade.protocol.Moment
+import copperglade.protocol.Resources
+import copperglade.protocol.secondsSince
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.seconds
+
+class RestartDecision(val run: Run, val target: MachineName)
+
+/** Looks for stragglers in one block and weighs restarting them on another of its machines (section 6 and DESIGN). */
+class StragglerWatch(private val context: OwnerContext) {
+    private var nextLook = Moment.NEVER
+
+    fun look(machines: Collection<Machine>, now: Moment): List<RestartDecision> {
+        if (now < nextLook) return emptyList()
+        nextLook = now + PACE
+        val free = HashMap<MachineName, Resources>()
+        for (machine in machines) {
+            val type = context.types[machine.typeName] ?: continue
+            val silent = now >= machine.heardAt + (context.reportS * 2).seconds
+            if (machine.draining || machine.deleting || machine.noticed || machine.faulty || silent) continue
+            free[machine.name] = machine.free(type) { null }
+        }
+        return machines.flatMap { it.runs }.filter { eligible(it) }.mapNotNull { run ->
+            decide(run, machines, free, now)?.also { free.merge(it.target, run.spec.request) { a, b -> a - b } }
+        }
+    }
+
+    /** Services never finish, gangs run together or not at all, and once is enough for any task. */
+    private fun eligible(run: Run) = run.state == RunState.RUNNING && run.spec.kind == JobKind.ARRAY && !run.restarted
+
+    private fun decide(run: Run, machines: Collection<Machine>, free: Map<MachineName, Resources>, now: Moment): RestartDecision? {
+        val home = run.machine ?: return null
+        val elapsed = now.secondsSince(run.runningSince ?: return null)
+        val average = context.profiles.averageRunS(run.task.job, run.spec.load) ?: return null
+        if (elapsed <= average * context.tuning.stragglerMargin) return null
+        val here = context.profiles.predict(home.name, factorsOn(home, run, home.runs.size)) ?: return null
+        val remaining = RiskAssessment.remainingS(here, elapsed, context.tuning.stragglerOverrun)
+        val options = machines.mapNotNull { machine ->
+            val type = context.types[machine.typeName] ?: return@mapNotNull null
+            val room = free[machine.name] ?: return@mapNotNull null
+            val fits = machine !== home && machine.name !in run.avoid && run.spec.request.fitsIn(room) &&
+                run.spec.allows(machine.typeName, machine.zone, machine.spot)
+            if (!fits) return@mapNotNull null
+            val prediction = context.profiles.predict(machine.name, factorsOn(machine, run, machine.runs.size + 1))
+            val fetchS = if (machine.hasImage(run.spec.image)) 0.0 else run.spec.image.gb / type.fetchGbPerS.coerceAtLeast(TINY)
+            prediction?.let { Option(machine.name, it, fetchS) }
+        }
+        return when (val verdict = RiskAssessment.weigh(options, remaining)) {
+            is Verdict.Restart -> {
+                log.info(
+                    "straggler {} on {}: ran {} s, average {} s, needs {} s more; restart on {} expects {} s, worst {} s, profit {} s",
+                    run.task, home.name, round(elapsed), round(average), round(remaining), verdict.option.place,
+                    round(verdict.option.prediction.average), round(verdict.option.prediction.worst + verdict.option.fetchS),
+                    round(verdict.profit),
+                )
+                RestartDecision(run, verdict.option.place)
+            }
+            is Verdict.TooRisky -> {
+                log.debug("straggler {} stays: profit {} s, but worst {} s of {} s", run.task, verdict.profit, verdict.worstS, remaining)
+                null
+            }
+            is Verdict.NoProfit -> {
+                log.debug("straggler {} stays: best profit {} s of {} options", run.task, verdict.best, options.size)
+                null
+            }
+        }
+    }
+
+    private fun factorsOn(machine: Machine, run: Run, neighbours: Int) =
+        Factors(run.task.job, run.spec.load, machine.typeName, run.spec.request, neighbours)
+
+    private fun round(seconds: Double) = Math.round(seconds * 10) / 10.0
+
+    private companion object {
+        const val TINY = 1e-6
+        val PACE = 1.seconds
+        val log = LoggerFactory.getLogger("risk")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -0,0 +1,20 @@
+package copperglade.coordination
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What the operators may set; `docs/operations.md` says what each is for. */
+class Tuning(
+    val holdLimit: Duration = 30.seconds,
+    val holdMargin: Duration = 2.seconds,
+    val leadHold: Duration = 4.seconds,
+    val blocksPerZone: Int = 0,
+    val stragglerMargin: Double = 1.0,
+    val stragglerOverrun: Double = 0.5,
+    val nearestProfiles: Int = 8,
+    val fittingSteps: Int = 4,
+    val fittingRate: Double = 0.02,
+    val profileCapacity: Int = 400,
+    val headroom: Double = 1.25,
+    val idleBeforeReturn: Duration = 25.seconds,
+)
--- /dev/null
+++ b/src/main/kotlin/copperglade/protocol/JobSpec.kt
@@ -0,0 +1,174 @@
+package copperglade.protocol
+
+import com.fasterxml.jackson.core.JsonGenerator
+import com.fasterxml.jackson.databind.JsonNode
+
+enum class JobKind(val wire: String) {
+    ARRAY("array"),
+    SERVICE("daemon"),
+
+    /** All tasks at once or none; the protocol at hand takes no such submissions. */
+    GANG("ensemble"),
+}
+
+/** From the most to the least important. */
+enum class Priority(val wire: String) {
+    PRODUCTION("prod"),
+    HIGH("urgent"),
+    NORMAL("normal"),
+    LOW("best_effort"),
+}
+
+/** What a task takes, or what a machine has. */
+data class Resources(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+    operator fun plus(other: Resources) =
+        Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb)
+
+    operator fun minus(other: Resources) =
+        Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
+
+    operator fun times(factor: Int) = Resources(cpus * factor, gpus * factor, memoryGb * factor)
+
+    /** Sums of decimal fractions are not exact, hence the hair's breadth. */
+    fun fitsIn(room: Resources): Boolean =
+        cpus <= room.cpus + HAIR && gpus <= room.gpus + HAIR && memoryGb <= room.memoryGb + HAIR
+
+    companion object {
+        private const val HAIR = 1e-6
+        val ZERO = Resources(0.0, 0.0, 0.0)
+    }
+}
+
+data class Image(val name: ImageName, val gb: Double)
+
+/** A job as its user described it. */
+class JobSpec(
+    val id: JobId,
+    val load: String,
+    val team: TeamName,
+    val kind: JobKind,
+    val priority: Priority,
+    val tasks: Int,
+    val request: Resources,
+    val image: Image,
+    val types: List<String>?,
+    val zone: String?,
+    val oneZone: Boolean,
+    val spread: Boolean,
+    val spotAllowed: Boolean,
+    val estimateS: Double,
+    val checkpointS: Double,
+    val saveS: Double,
+    val deadlineS: Double?,
+) {
+    /** Whether machines of this type, in this zone and of this kind may run the job's tasks at all. */
+    fun allows(type: String, machineZone: String, spot: Boolean): Boolean =
+        (types == null || type in types) && (zone == null || zone == machineZone) && (!spot || spotAllowed)
+
+    /** The most tasks that [spread] lets one zone hold. */
+    val perZoneLimit: Int get() = if (spread) (tasks + 1) / 2 else tasks
+}
+
+/** What was wrong with a submission, by the name of its field on the wire. */
+class BadField(val field: String, val problem: String)
+
+sealed interface ParsedJob {
+    class Good(val spec: JobSpec) : ParsedJob
+
+    class Bad(val why: BadField) : ParsedJob
+}
+
+/** Reads and writes jobs in the users' wire form. */
+object JobSpecCodec {
+    private const val MOST_TASKS = 100_000
+    private const val MOST_AMOUNT = 1e9
+    private const val MOST_TEXT = 200
+
+    private class Refused(val why: BadField) : Exception(null, null, false, false)
+
+    fun parse(root: JsonNode?): ParsedJob = try {
+        if (root == null || !root.isObject) refuse("body", "not a JSON object")
+        ParsedJob.Good(read(root))
+    } catch (refused: Refused) {
+        ParsedJob.Bad(refused.why)
+    }
+
+    private fun read(root: JsonNode): JobSpec = JobSpec(
+        id = JobId.parse(text(root, "nameId")) ?: refuse("nameId", "not of the form job-000412"),
+        load = text(root, "load"),
+        team = TeamName(text(root, "crew")),
+        kind = choice(root, "haul", listOf(JobKind.ARRAY, JobKind.SERVICE)) { it.wire },
+        priority = choice(root, "urgency", Priority.entries) { it.wire },
+        tasks = taskCount(root),
+        request = Resources(amount(root, "vcpus"), amount(root, "gpus"), amount(root, "memoryGb")),
+        image = Image(ImageName(text(root, "manifest")), amount(root, "pullGb")),
+        types = types(root),
+        zone = if (root.present("depot") == null) null else text(root, "depot"),
+        oneZone = flag(root, "oneZone"),
+        spread = flag(root, "spread"),
+        spotAllowed = flag(root, "borrowed"),
+        estimateS = amount(root, "etaS"),
+        checkpointS = amount(root, "waypointS"),
+        saveS = amount(root, "unloadS"),
+        deadlineS = if (root.present("dueS") == null) null else amount(root, "dueS"),
+    )
+
+    fun write(out: JsonGenerator, spec: JobSpec) = with(out) {
+        obj {
+            writeStringField("nameId", spec.id.text)
+            writeStringField("load", spec.load)
+            writeStringField("crew", spec.team.text)
+            writeStringField("haul", spec.kind.wire)
+            writeStringField("urgency", spec.priority.wire)
+            writeNumberField("boxes", spec.tasks)
+            writeNumberField("vcpus", spec.request.cpus)
+            writeNumberField("gpus", spec.request.gpus)
+            writeNumberField("memoryGb", spec.request.memoryGb)
+            writeStringField("manifest", spec.image.name.text)
+            writeNumberField("pullGb", spec.image.gb)
+            spec.types?.let { types -> array("fleets") { types.forEach(::writeString) } }
+            spec.zone?.let { writeStringField("depot", it) }
+            writeBooleanField("oneZone", spec.oneZone)
+            writeBooleanField("spread", spec.spread)
+            writeBooleanField("borrowed", spec.spotAllowed)
+            writeNumberField("etaS", spec.estimateS)
+            writeNumberField("waypointS", spec.checkpointS)
+            writeNumberField("unloadS", spec.saveS)
+            spec.deadlineS?.let { writeNumberField("dueS", it) }
+        }
+    }
+
+    private fun refuse(field: String, problem: String): Nothing = throw Refused(BadField(field, problem))
+
+    private fun text(root: JsonNode, name: String): String {
+        val value = root.text(name) ?: refuse(name, "missing or not a string")
+        if (value.isEmpty() || value.length > MOST_TEXT) refuse(name, "empty or too long")
+        return value
+    }
+
+    private fun flag(root: JsonNode, name: String): Boolean =
+        root.flag(name) ?: refuse(name, "missing or not true or false")
+
+    private fun amount(root: JsonNode, name: String): Double {
+        val value = root.number(name) ?: refuse(name, "missing or not a number")
+        if (!value.isFinite() || value < 0.0 || value > MOST_AMOUNT) refuse(name, "out of range")
+        return value
+    }
+
+    private fun taskCount(root: JsonNode): Int {
+        val value = root.long("boxes") ?: refuse("boxes", "missing or not an integer")
+        if (value !in 1..MOST_TASKS) refuse("boxes", "not between 1 and $MOST_TASKS")
+        return value.toInt()
+    }
+
+    private fun types(root: JsonNode): List<String>? {
+        val value = root.present("fleets") ?: return null
+        if (!value.isArray || value.any { !it.isTextual }) refuse("fleets", "not a list of strings")
+        return value.map { it.textValue() }
+    }
+
+    private fun <T> choice(root: JsonNode, name: String, among: List<T>, wire: (T) -> String): T {
+        val value = text(root, name)
+        return among.firstOrNull { wire(it) == value } ?: refuse(name, "unknown value")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
@@ -0,0 +1,105 @@
+package copperglade.protocol
+
+import com.fasterxml.jackson.databind.JsonNode
+
+/** A setting that is missing or makes no sense; [message] names it. */
+class BadSetting(message: String) : Exception(message)
+
+class Peer(val member: MemberId, val zone: String, val endpoint: Endpoint)
+
+/** A team's guarantee and its limit; a limit of 0 means none. */
+class Team(val name: TeamName, val cpus: Double, val cpusMax: Double, val gpus: Double, val gpusMax: Double) {
+    fun allows(cpusUsed: Double, gpusUsed: Double): Boolean =
+        (cpusMax <= 0.0 || cpusUsed <= cpusMax + HAIR) && (gpusMax <= 0.0 || gpusUsed <= gpusMax + HAIR)
+
+    fun guarantees(cpusUsed: Double, gpusUsed: Double): Boolean = cpusUsed <= cpus + HAIR && gpusUsed <= gpus + HAIR
+
+    private companion object {
+        const val HAIR = 1e-6
+    }
+}
+
+/** The settings file that the platform hands to every controller. Fields that we don't know are ignored. */
+class PlatformSettings(
+    val member: MemberId,
+    val zone: String,
+    val clientListen: Endpoint,
+    val clusterListen: Endpoint,
+    val peers: List<Peer>,
+    val cloud: Endpoint,
+    val state: Endpoint,
+    val zones: List<String>,
+    val teams: Map<TeamName, Team>,
+    val reportS: Double,
+    val leaseS: Double,
+    val cancelS: Double,
+    val stateRps: Double,
+    val stateWriteRps: Double,
+    val valueKb: Double,
+    val transactionWrites: Int,
+    val cloudRps: Double,
+    val listLagS: Double,
+    val socketLimit: Int,
+) {
+    companion object {
+        fun parse(bytes: ByteArray): PlatformSettings {
+            val root = Json.readStrict(bytes)?.takeIf { it.isObject } ?: throw BadSetting("settings: not a JSON object")
+            val outside = root.section("outside")
+            val deployment = root.section("deployment")
+            val workers = deployment.section("workers")
+            val state = deployment.section("state")
+            val cloud = deployment.section("cloud")
+            val settings = PlatformSettings(
+                member = MemberId(root.words("member")),
+                zone = root.words("location"),
+                clientListen = root.endpoint("client_listen"),
+                clusterListen = root.endpoint("cluster_listen"),
+                peers = root.items("known").map { Peer(MemberId(it.words("member")), it.words("location"), it.endpoint("endpoint")) },
+                cloud = outside.endpoint("cloud"),
+                state = outside.endpoint("state"),
+                zones = deployment.items("zones").map { it.textValue() ?: throw BadSetting("deployment.zones: not strings") },
+                teams = deployment.items("teams").map(::team).associateBy { it.name },
+                reportS = workers.positive("report_s"),
+                leaseS = workers.positive("lease_s"),
+                cancelS = workers.positive("cancel_s"),
+                stateRps = state.positive("rps"),
+                stateWriteRps = state.positive("write_rps"),
+                valueKb = state.positive("value_kb"),
+                transactionWrites = state.positive("txn_ops").toInt(),
+                cloudRps = cloud.positive("rps"),
+                listLagS = cloud.amount("list_lag_s"),
+                socketLimit = deployment.section("resources").positive("fd_limit").toInt(),
+            )
+            if (settings.cancelS <= settings.leaseS) {
+                throw BadSetting("deployment.workers.cancel_s: must be larger than lease_s")
+            }
+            return settings
+        }
+
+        private fun team(node: JsonNode) = Team(
+            TeamName(node.words("name")),
+            node.amount("cpus"),
+            node.amount("cpus_max"),
+            node.amount("gpus"),
+            node.amount("gpus_max"),
+        )
+
+        private fun JsonNode.section(name: String): JsonNode =
+            present(name)?.takeIf { it.isObject } ?: throw BadSetting("$name: missing or not an object")
+
+        private fun JsonNode.items(name: String): JsonNode =
+            present(name)?.takeIf { it.isArray } ?: throw BadSetting("$name: missing or not a list")
+
+        private fun JsonNode.words(name: String): String =
+            text(name)?.takeIf { it.isNotEmpty() } ?: throw BadSetting("$name: missing or not a string")
+
+        private fun JsonNode.endpoint(name: String): Endpoint =
+            Endpoint.parse(words(name)) ?: throw BadSetting("$name: not of the form host:port")
+
+        private fun JsonNode.amount(name: String): Double =
+            number(name)?.takeIf { it.isFinite() && it >= 0.0 } ?: throw BadSetting("$name: missing or not a number of at least 0")
+
+        private fun JsonNode.positive(name: String): Double =
+            amount(name).takeIf { it > 0.0 } ?: throw BadSetting("$name: must be larger than 0")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -0,0 +1,254 @@
+package copperglade.storage
+
+import com.fasterxml.jackson.core.JsonGenerator
+import com.fasterxml.jackson.databind.JsonNode
+import copperglade.protocol.Baton
+import copperglade.protocol.BlockName
+import copperglade.protocol.Incarnation
+import copperglade.protocol.JobId
+import copperglade.protocol.JobSpec
+import copperglade.protocol.JobSpecCodec
+import copperglade.protocol.JobStatus
+import copperglade.protocol.Json
+import copperglade.protocol.MemberId
+import copperglade.protocol.ParsedJob
+import copperglade.protocol.Stamp
+import copperglade.protocol.array
+import copperglade.protocol.flag
+import copperglade.protocol.long
+import copperglade.protocol.obj
+import copperglade.protocol.text
+import java.util.BitSet
+
+/** A record as it stands in the state service. */
+class Stamped<T>(val value: T, val stamp: Stamp)
+
+/** An accepted job that is not over. */
+class LiveRecord(val spec: JobSpec, val acceptedAtMs: Long, val cancelled: Boolean)
+
+/**
+ * Tasks that the lead gave to a block.
+ *
+ * @property baton the block's stamp at that time: an owner that still holds it knows that nobody before it can have
+ * started these tasks.
+ * @property generation tells apart repeated assignments of a task to the same block.
+ */
+class AssignmentGroup(val block: BlockName, val baton: Baton, val generation: Int, val tasks: BitSet)
+
+/**
+ * Where the tasks of one page of a job are; written by the lead alone.
+ *
+ * @property lastGeneration kept although its group may be gone: a generation used twice would take an old give-back
+ * for that of a new assignment.
+ */
+class AssignmentPage(val groups: List<AssignmentGroup>, val recalled: BitSet, val lastGeneration: Int)
+
+/**
+ * What became of a page's tasks in one block; written by the block's owner alone.
+ *
+ * @property returned by generation, the tasks that are surely on no machine of the block any more.
+ */
+class WorkRecord(val done: BitSet, val returned: Map<Int, BitSet>, val restarted: BitSet) {
+    fun sameAs(other: WorkRecord): Boolean =
+        done == other.done && returned == other.returned && restarted == other.restarted
+
+    companion object {
+        val EMPTY = WorkRecord(BitSet(), emptyMap(), BitSet())
+    }
+}
+
+class EndRecord(val status: JobStatus, val tasksDone: Int)
+
+/** Who owns a block; the stamp of the record is the baton of the block's workers. */
+data class BlockRecord(val member: MemberId, val incarnation: Incarnation)
+
+data class MemberRecord(val incarnation: Incarnation)
+
+data class LeadRecord(val member: MemberId, val incarnation: Incarnation)
+
+/** Sets of task numbers as text, such as `0-3,7`. */
+object Ranges {
+    fun format(set: BitSet): String = buildString {
+        var start = set.nextSetBit(0)
+        while (start >= 0) {
+            val end = set.nextClearBit(start) - 1
+            if (isNotEmpty()) append(',')
+            append(start)
+            if (end > start) append('-').append(end)
+            start = set.nextSetBit(end + 1)
+        }
+    }
+
+    fun parse(text: String): BitSet {
+        val set = BitSet()
+        if (text.isEmpty()) return set
+        for (part in text.split(',')) {
+            val dash = part.indexOf('-')
+            if (dash < 0) set.set(part.toInt()) else set.set(part.substring(0, dash).toInt(), part.substring(dash + 1).toInt() + 1)
+        }
+        return set
+    }
+}
+
+/** The names of the records' keys. */
+object Keys {
+    const val ROOT = "cg/"
+
+    /** All that a starting controller has to read. */
+    const val NOW = "cg/now/"
+    private const val OVER = "cg/over/"
+    const val LEAD = "cg/now/lead"
+
+    /** Tasks a page: a page of the most scattered ranges stays far below the smallest value limit. */
+    const val PAGE_TASKS = 256
+
+    fun live(job: JobId) = "${NOW}live/$job"
+
+    fun page(job: JobId, page: Int) = "${NOW}task/$job/$page"
+
+    fun work(job: JobId, page: Int, block: BlockName) = "${NOW}work/$job/$page/$block"
+
+    fun block(name: BlockName) = "${NOW}block/$name"
+
+    fun member(id: MemberId) = "${NOW}member/$id"
+
+    fun over(job: JobId) = "$OVER$job"
+
+    fun parse(key: String): ParsedKey? {
+        if (key == LEAD) return ParsedKey.Lead
+        if (key.startsWith(OVER)) return JobId.parse(key.substring(OVER.length))?.let { ParsedKey.Over(it) }
+        if (!key.startsWith(NOW)) return null
+        val parts = key.substring(NOW.length).split('/')
+        return when (parts[0]) {
+            "live" -> JobId.parse(parts[1])?.let { ParsedKey.Live(it) }
+            "task" -> JobId.parse(parts[1])?.let { ParsedKey.Page(it, parts[2].toInt()) }
+            "work" -> JobId.parse(parts[1])?.let { ParsedKey.Work(it, WorkPlace(parts[2].toInt(), BlockName(parts[3]))) }
+            "block" -> ParsedKey.Block(BlockName(parts[1]))
+            "member" -> ParsedKey.Member(MemberId(parts[1]))
+            else -> null
+        }
+    }
+}
+
+/** A page's tasks in a block. */
+data class WorkPlace(val page: Int, val block: BlockName)
+
+sealed interface ParsedKey {
+    data object Lead : ParsedKey
+
+    class Live(val job: JobId) : ParsedKey
+
+    class Page(val job: JobId, val page: Int) : ParsedKey
+
+    class Work(val job: JobId, val place: WorkPlace) : ParsedKey
+
+    class Over(val job: JobId) : ParsedKey
+
+    class Block(val name: BlockName) : ParsedKey
+
+    class Member(val id: MemberId) : ParsedKey
+}
+
+/** Records as JSON values. Short names: small values, many of them. */
+object RecordCodec {
+    fun encode(record: LiveRecord): ByteArray = Json.write {
+        obj {
+            writeFieldName("spec")
+            JobSpecCodec.write(this, record.spec)
+            writeNumberField("at", record.acceptedAtMs)
+            if (record.cancelled) writeBooleanField("cancelled", true)
+        }
+    }
+
+    fun decodeLive(node: JsonNode): LiveRecord? {
+        val spec = (JobSpecCodec.parse(node.get("spec")) as? ParsedJob.Good)?.spec ?: return null
+        return LiveRecord(spec, node.long("at") ?: 0, node.flag("cancelled") ?: false)
+    }
+
+    fun encode(record: AssignmentPage): ByteArray = Json.write {
+        obj {
+            array("g") {
+                for (group in record.groups) {
+                    writeStartArray()
+                    writeString(group.block.text)
+                    writeNumber(group.baton.number)
+                    writeNumber(group.generation)
+                    writeString(Ranges.format(group.tasks))
+                    writeEndArray()
+                }
+            }
+            ranges("r", record.recalled)
+            writeNumberField("n", record.lastGeneration)
+        }
+    }
+
+    fun decodePage(node: JsonNode): AssignmentPage {
+        val groups = node.get("g").map {
+            AssignmentGroup(
+                BlockName(it[0].asText()),
+                Baton(it[1].asLong()),
+                it[2].asInt(),
+                Ranges.parse(it[3].asText()),
+            )
+        }
+        return AssignmentPage(groups, node.ranges("r"), node.get("n").asInt())
+    }
+
+    fun encode(record: WorkRecord): ByteArray = Json.write {
+        obj {
+            ranges("d", record.done)
+            if (record.returned.isNotEmpty()) {
+                obj("b") { record.returned.forEach { (generation, tasks) -> ranges(generation.toString(), tasks) } }
+            }
+            ranges("x", record.restarted)
+        }
+    }
+
+    fun decodeWork(node: JsonNode): WorkRecord {
+        val returned = HashMap<Int, BitSet>()
+        node.get("b")?.fields()?.forEach { (generation, tasks) -> returned[generation.toInt()] = Ranges.parse(tasks.asText()) }
+        return WorkRecord(node.ranges("d"), returned, node.ranges("x"))
+    }
+
+    fun encode(record: EndRecord): ByteArray = Json.write {
+        obj {
+            writeStringField("status", record.status.name)
+            writeNumberField("done", record.tasksDone)
+        }
+    }
+
+    fun decodeEnd(node: JsonNode): EndRecord? {
+        val status = JobStatus.entries.firstOrNull { it.name == node.text("status") } ?: return null
+        return EndRecord(status, (node.long("done") ?: 0).toInt())
+    }
+
+    fun encode(record: BlockRecord): ByteArray = holder(record.member, record.incarnation)
+
+    fun decodeBlock(node: JsonNode): BlockRecord? {
+        val member = MemberId(node.text("member") ?: return null)
+        return BlockRecord(member, Incarnation(node.long("inc") ?: return null))
+    }
+
+    fun encode(record: LeadRecord): ByteArray = holder(record.member, record.incarnation)
+
+    fun decodeLead(node: JsonNode): LeadRecord? = decodeBlock(node)?.let { LeadRecord(it.member, it.incarnation) }
+
+    fun encode(record: MemberRecord): ByteArray = Json.write {
+        obj { writeNumberField("inc", record.incarnation.number) }
+    }
+
+    fun decodeMember(node: JsonNode): MemberRecord? = node.long("inc")?.let { MemberRecord(Incarnation(it)) }
+
+    private fun holder(member: MemberId, incarnation: Incarnation): ByteArray = Json.write {
+        obj {
+            writeStringField("member", member.text)
+            writeNumberField("inc", incarnation.number)
+        }
+    }
+
+    private fun JsonGenerator.ranges(name: String, set: BitSet) {
+        if (!set.isEmpty) writeStringField(name, Ranges.format(set))
+    }
+
+    private fun JsonNode.ranges(name: String): BitSet = Ranges.parse(text(name).orEmpty())
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -0,0 +1,333 @@
+package copperglade.storage
+
+import com.fasterxml.jackson.databind.JsonNode
+import copperglade.protocol.Endpoint
+import copperglade.protocol.Json
+import copperglade.protocol.Moment
+import copperglade.protocol.Permit
+import copperglade.protocol.Stamp
+import copperglade.protocol.array
+import copperglade.protocol.flag
+import copperglade.protocol.long
+import copperglade.protocol.obj
+import copperglade.protocol.text
+import copperglade.transport.EventLoop
+import copperglade.transport.HttpCaller
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The stamp a key must have for a transaction to be applied. */
+data class Condition(val key: String, val stamp: Stamp)
+
+sealed interface Write {
+    val key: String
+
+    class Set(override val key: String, val value: ByteArray, val permit: Permit? = null) : Write
+
+    class Drop(override val key: String) : Write
+}
+
+class Transaction(val conditions: List<Condition>, val writes: List<Write>)
+
+sealed interface TransactionOutcome {
+    /** Every change of the transaction carries [stamp]. */
+    class Applied(val stamp: Stamp) : TransactionOutcome
+
+    class Conflict(val failed: List<String>) : TransactionOutcome
+
+    data object NoSuchPermit : TransactionOutcome
+
+    /** Surely not carried out. */
+    data object Refused : TransactionOutcome
+
+    /** May have been carried out, or may yet be. */
+    data object Unknown : TransactionOutcome
+}
+
+/** What comes first when there is less budget than work. */
+enum class Urgency { HOLD, USER, ASSIGNMENT, OUTCOME, CLEANING }
+
+class Entry(val key: String, val value: JsonNode, val stamp: Stamp)
+
+class Listing(val entries: List<Entry>, val more: Boolean, val ledger: Stamp)
+
+sealed interface Change {
+    val key: String
+    val stamp: Stamp
+
+    class Set(override val key: String, val value: JsonNode, override val stamp: Stamp) : Change
+
+    class Dropped(override val key: String, override val stamp: Stamp) : Change
+}
+
+sealed interface ChangesOutcome {
+    class Got(val ledger: Stamp, val changes: List<Change>) : ChangesOutcome
+
+    /** The service no longer knows what happened since: read all keys again. */
+    data object TooOld : ChangesOutcome
+
+    data object Failed : ChangesOutcome
+}
+
+sealed interface ReadOutcome {
+    class Found(val value: JsonNode, val stamp: Stamp) : ReadOutcome
+
+    data object Absent : ReadOutcome
+
+    data object Failed : ReadOutcome
+}
+
+sealed interface HoldOutcome {
+    class Granted(val permit: Permit) : HoldOutcome
+
+    data object Extended : HoldOutcome
+
+    data object Gone : HoldOutcome
+
+    data object Failed : HoldOutcome
+}
+
+/** Limits of the state service, as the platform's settings give them. */
+class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueKb: Double, val transactionWrites: Int)
+
+/**
+ * The state service as this controller may use it: within its share of the budgets that all controllers have together.
+ * Transactions wait for write budget in order of urgency; whoever comes when the queue is full is refused at once.
+ */
+class StateClient(
+    private val loop: EventLoop,
+    private val http: HttpCaller,
+    private val endpoint: Endpoint,
+    val limits: StateLimits,
+) {
+    private class Queued(val transaction: Transaction, val done: (TransactionOutcome) -> Unit)
+
+    private val queues = Urgency.entries.associateWith { ArrayDeque<Queued>() }
+    private val requests = TokenBucket(limits.requestsPerS * INITIAL_SHARE, BURST_S, loop.now())
+    private val writes = TokenBucket(limits.writesPerS * INITIAL_SHARE, BURST_S, loop.now())
+    private var inFlight = 0
+    private var draining = false
+
+    /** When the service last answered as it should. */
+    var lastGood: Moment = Moment.NEVER
+        private set
+
+    /** Sets this controller's part of the budgets. */
+    fun setShare(share: Double) {
+        requests.setRate(limits.requestsPerS * share, loop.now())
+        writes.setRate(limits.writesPerS * share, loop.now())
+    }
+
+    /** How much of the write budget is left, from 0 to 1: batches widen as it shrinks. */
+    fun writeLevel(): Double = writes.level(loop.now())
+
+    /** Whether a further transaction of a user would have to wait for long. */
+    fun crowded(): Boolean = queues.getValue(Urgency.USER).size >= MOST_QUEUED
+
+    fun commit(urgency: Urgency, transaction: Transaction, done: (TransactionOutcome) -> Unit) {
+        val queue = queues.getValue(urgency)
+        if (urgency != Urgency.HOLD && queue.size >= MOST_QUEUED) {
+            done(TransactionOutcome.Refused)
+            return
+        }
+        queue.addLast(Queued(transaction, done))
+        drain()
+    }
+
+    private fun drain() {
+        for ((urgency, queue) in queues) {
+            while (queue.isNotEmpty()) {
+                val next = queue.first()
+                if (urgency == Urgency.HOLD) {
+                    writes.take(next.transaction.writes.size, loop.now())
+                } else if (inFlight >= MOST_IN_FLIGHT || !writes.tryTake(next.transaction.writes.size, loop.now())) {
+                    drainLater()
+                    return
+                }
+                queue.removeFirst()
+                send(next)
+            }
+        }
+    }
+
+    private fun drainLater() {
+        if (draining) return
+        draining = true
+        loop.after(DRAIN_PAUSE) {
+            draining = false
+            drain()
+        }
+    }
+
+    private fun send(queued: Queued) {
+        inFlight++
+        val body = encode(queued.transaction)
+        request(Request(Method.POST, "/multi", body), TIMEOUT) { reply ->
+            inFlight--
+            queued.done(outcomeOf(reply))
+            drain()
+        }
+    }
+
+    private fun outcomeOf(reply: Reply?): TransactionOutcome = when (reply?.status) {
+        null -> TransactionOutcome.Unknown
+        OK -> Json.read(reply.body)?.long("ledger")?.let { TransactionOutcome.Applied(Stamp(it)) }
+            ?: TransactionOutcome.Unknown
+        CONFLICT -> TransactionOutcome.Conflict(
+            Json.read(reply.body)?.get("failed")?.map { it.asText() }.orEmpty(),
+        )
+        BAD_REQUEST -> {
+            val problem = Json.read(reply.body)?.text("error").orEmpty()
+            if ("lease" !in problem) log.error("the state service calls a transaction malformed: {}", problem)
+            TransactionOutcome.NoSuchPermit
+        }
+        TOO_MANY, UNAVAILABLE -> TransactionOutcome.Refused
+        else -> {
+            log.warn("unexpected status {} for a transaction", reply.status)
+            TransactionOutcome.Unknown
+        }
+    }
+
+    fun read(key: String, done: (ReadOutcome) -> Unit) {
+        if (!requests.tryTake(1, loop.now())) {
+            done(ReadOutcome.Failed)
+            return
+        }
+        request(Request(Method.GET, "/kv/$key"), TIMEOUT, counted = true) { reply ->
+            val node = reply?.takeIf { it.status == OK }?.let { Json.read(it.body) }
+            val value = node?.get("data")
+            val stamp = node?.long("stamp")
+            done(
+                when {
+                    value != null && stamp != null -> ReadOutcome.Found(value, Stamp(stamp))
+                    reply?.status == NOT_FOUND -> ReadOutcome.Absent
+                    else -> ReadOutcome.Failed
+                },
+            )
+        }
+    }
+
+    fun list(prefix: String, from: String?, done: (Listing?) -> Unit) {
+        val after = if (from == null) "" else "&from=$from"
+        request(Request(Method.GET, "/kv?starts=$prefix$after&limit=$LIST_LIMIT"), LIST_TIMEOUT) { reply ->
+            val node = reply?.takeIf { it.status == OK }?.let { Json.read(it.body) }
+            val ledger = node?.long("ledger")
+            val entries = node?.get("entries")?.mapNotNull { entry ->
+                val key = entry.text("k")
+                val value = entry.get("data")
+                val stamp = entry.long("stamp")
+                if (key == null || value == null || stamp == null) null else Entry(key, value, Stamp(stamp))
+            }
+            done(if (ledger == null || entries == null) null else Listing(entries, node.flag("truncated") ?: false, Stamp(ledger)))
+        }
+    }
+
+    /** Changes since [from]; waits up to [wait] for the first one. */
+    fun changes(prefix: String, from: Stamp, wait: Duration, done: (ChangesOutcome) -> Unit) {
+        val path = "/changes?starts=$prefix&from=$from&waitMs=${wait.inWholeMilliseconds}"
+        request(Request(Method.GET, path), TIMEOUT + wait) { reply ->
+            done(
+                when (reply?.status) {
+                    OK -> decodeChanges(Json.read(reply.body))
+                    GONE -> ChangesOutcome.TooOld
+                    else -> ChangesOutcome.Failed
+                },
+            )
+        }
+    }
+
+    private fun decodeChanges(node: JsonNode?): ChangesOutcome {
+        val ledger = node?.long("ledger") ?: return ChangesOutcome.Failed
+        val changes = node.get("events")?.mapNotNull { event ->
+            val stamp = Stamp(event.long("stamp") ?: return@mapNotNull null)
+            val dropped = event.text("drop")
+            if (dropped != null) return@mapNotNull Change.Dropped(dropped, stamp)
+            val key = event.text("set") ?: return@mapNotNull null
+            Change.Set(key, event.get("data") ?: return@mapNotNull null, stamp)
+        }
+        return ChangesOutcome.Got(Stamp(ledger), changes.orEmpty())
+    }
+
+    fun openHold(length: Duration, done: (HoldOutcome) -> Unit) {
+        val body = Json.write { obj { writeNumberField("ttlMs", length.inWholeMilliseconds) } }
+        request(Request(Method.POST, "/holds", body), TIMEOUT) { reply ->
+            val permit = reply?.takeIf { it.status == OK }?.let { Json.read(it.body)?.long("permit") }
+            done(if (permit == null) HoldOutcome.Failed else HoldOutcome.Granted(Permit(permit)))
+        }
+    }
+
+    fun extendHold(permit: Permit, done: (HoldOutcome) -> Unit) {
+        request(Request(Method.POST, "/holds/$permit/extend"), TIMEOUT) { reply ->
+            done(
+                when (reply?.status) {
+                    OK -> HoldOutcome.Extended
+                    NOT_FOUND -> HoldOutcome.Gone
+                    else -> HoldOutcome.Failed
+                },
+            )
+        }
+    }
+
+    fun endHold(permit: Permit) = request(Request(Method.DELETE, "/holds/$permit"), TIMEOUT) {}
+
+    private fun request(request: Request, timeout: Duration, counted: Boolean = false, done: (Reply?) -> Unit) {
+        if (!counted) requests.take(1, loop.now())
+        http.call(endpoint, request, timeout) { reply ->
+            if (reply != null && reply.status != UNAVAILABLE) lastGood = loop.now()
+            if (reply?.status == TOO_MANY) log.info("over the state service's budget")
+            done(reply)
+        }
+    }
+
+    private fun encode(transaction: Transaction): ByteArray = Json.write {
+        obj {
+            array("if") {
+                for (condition in transaction.conditions) {
+                    obj {
+                        writeStringField("k", condition.key)
+                        writeNumberField("stamp", condition.stamp.number)
+                    }
+                }
+            }
+            array("writes") {
+                for (write in transaction.writes) {
+                    obj {
+                        when (write) {
+                            is Write.Drop -> writeStringField("drop", write.key)
+                            is Write.Set -> {
+                                writeStringField("set", write.key)
+                                writeFieldName("data")
+                                writeRawValue(write.value.decodeToString())
+                                write.permit?.let { writeNumberField("permit", it.number) }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    companion object {
+        private const val OK = 200
+        private const val BAD_REQUEST = 400
+        private const val NOT_FOUND = 404
+        private const val CONFLICT = 409
+        private const val GONE = 410
+        private const val TOO_MANY = 429
+        private const val UNAVAILABLE = 503
+        private const val INITIAL_SHARE = 0.3
+        private const val BURST_S = 0.8
+        private const val LIST_LIMIT = 1000
+        private const val MOST_QUEUED = 400
+        private const val MOST_IN_FLIGHT = 12
+        private val TIMEOUT = 2.seconds
+        private val LIST_TIMEOUT = 5.seconds
+        private val DRAIN_PAUSE = 20.milliseconds
+        private val log = LoggerFactory.getLogger("state")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/storage/TokenBucket.kt
@@ -0,0 +1,43 @@
+package copperglade.storage
+
+import copperglade.protocol.Moment
+import copperglade.protocol.secondsSince
+import kotlin.math.min
+
+/** A budget of so many per second, with a burst of [burstS] seconds' worth. */
+class TokenBucket(perSecond: Double, private val burstS: Double, private var at: Moment) {
+    var perSecond = perSecond
+        private set
+    private var tokens = perSecond * burstS
+
+    fun setRate(rate: Double, now: Moment) {
+        refill(now)
+        perSecond = rate
+        tokens = min(tokens, rate * burstS)
+    }
+
+    /** Takes [count] if there are as many; a count above the burst passes when the bucket is full. */
+    fun tryTake(count: Int, now: Moment): Boolean {
+        refill(now)
+        if (tokens < min(count.toDouble(), perSecond * burstS)) return false
+        tokens -= count
+        return true
+    }
+
+    /** Takes [count] in any case; what comes later pays for it. */
+    fun take(count: Int, now: Moment) {
+        refill(now)
+        tokens -= count
+    }
+
+    /** How full the bucket is, from 0 to 1. */
+    fun level(now: Moment): Double {
+        refill(now)
+        return (tokens / (perSecond * burstS)).coerceIn(0.0, 1.0)
+    }
+
+    private fun refill(now: Moment) {
+        tokens = min(perSecond * burstS, tokens + perSecond * now.secondsSince(at).coerceAtLeast(0.0))
+        at = now
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -0,0 +1,147 @@
+package copperglade.transport
+
+import copperglade.protocol.Endpoint
+import copperglade.protocol.UserWire
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.IdleState
+import io.netty.handler.timeout.IdleStateEvent
+import io.netty.handler.timeout.IdleStateHandler
+import org.slf4j.LoggerFactory
+
+/**
+ * An HTTP/1.1 server on one address.
+ *
+ * @param connectionLimit further connections are closed at once: sockets must be left for our own calls.
+ */
+class NettyHttpServer(
+    private val group: EventLoopGroup,
+    private val connectionLimit: Int,
+    private val handler: RequestHandler,
+) {
+    private var open = 0
+
+    fun listen(at: Endpoint) {
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) = accept(channel)
+            })
+            .bind(at.host, at.port)
+            .sync()
+    }
+
+    private fun accept(channel: SocketChannel) {
+        if (open >= connectionLimit) {
+            channel.close()
+            return
+        }
+        open++
+        channel.closeFuture().addListener { open-- }
+        channel.pipeline()
+            .addLast(IdleStateHandler(IDLE_S, 0, 0))
+            .addLast(HttpServerCodec(LONGEST_LINE, LONGEST_HEADERS, LONGEST_CHUNK))
+            .addLast(BoundedAggregator())
+            .addLast(Conversation())
+    }
+
+    /** A body over the protocol's limit gets a plain 400, and the connection ends. */
+    private class BoundedAggregator : HttpObjectAggregator(LONGEST_BODY) {
+        override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
+            val response = response(Reply(BAD_REQUEST, UserWire.error("body over 64 KiB", "body")), keep = false)
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+
+    private inner class Conversation : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+            val keep = HttpUtil.isKeepAlive(message)
+            if (message.decoderResult().isFailure) {
+                answer(context.channel(), Reply(BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
+                return
+            }
+            val method = when (message.method()) {
+                HttpMethod.GET -> Method.GET
+                HttpMethod.POST -> Method.POST
+                HttpMethod.DELETE -> Method.DELETE
+                else -> Method.OTHER
+            }
+            val request = Request(method, message.uri(), ByteBufUtil.getBytes(message.content()))
+            try {
+                handler.handle(request) { answer(context.channel(), it, keep) }
+            } catch (fault: RuntimeException) {
+                log.error("fault while answering {} {}", method, request.path, fault)
+                answer(context.channel(), Reply(UNAVAILABLE), keep = false)
+            }
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is IdleStateEvent && event.state() == IdleState.READER_IDLE) context.close()
+        }
+
+        @Deprecated("Netty's own name for it")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            log.debug("connection lost: {}", cause.toString())
+            context.close()
+        }
+    }
+
+    private fun answer(channel: Channel, reply: Reply, keep: Boolean) {
+        if (!channel.isActive) return
+        val written = channel.writeAndFlush(response(reply, keep))
+        if (!keep) written.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    companion object {
+        private const val BACKLOG = 256
+        private const val IDLE_S = 40
+        private const val LONGEST_LINE = 4096
+        private const val LONGEST_HEADERS = 8192
+        private const val LONGEST_CHUNK = 8192
+        private const val LONGEST_BODY = 64 * 1024
+        private const val BAD_REQUEST = 400
+        private const val UNAVAILABLE = 503
+        private val log = LoggerFactory.getLogger("http.server")
+
+        private fun response(reply: Reply, keep: Boolean): DefaultFullHttpResponse {
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status),
+                Unpooled.wrappedBuffer(reply.body),
+            )
+            val headers = response.headers()
+            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body.size)
+            if (reply.body.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            reply.retryAfterS?.let { headers.setInt(HttpHeaderNames.RETRY_AFTER, it) }
+            if (!keep) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            return response
+        }
+    }
+}
