Short holds with peers vouching through outages; deadline plan when room is short

Cause: a cut controller's blocks stayed unowned for the whole hold of 28 s, while workers' leases ran out after 10 s. Under overload, earliest deadline first made nearly every job late.

--- a/src/main/kotlin/copperglade/app/OperatorProperties.kt
+++ b/src/main/kotlin/copperglade/app/OperatorProperties.kt
@@ -13,6 +13,7 @@
     private val KEYS = setOf(
         "hold.limit.s",
         "hold.margin.s",
+        "hold.part-of-lease",
         "lead.hold.s",
         "blocks.per-zone",
         "straggler.margin",
@@ -43,6 +44,7 @@
         return Tuning(
             holdLimit = reader.seconds("hold.limit.s", usual.holdLimit, 1.0..600.0),
             holdMargin = reader.seconds("hold.margin.s", usual.holdMargin, 0.5..60.0),
+            holdPartOfLease = reader.number("hold.part-of-lease", usual.holdPartOfLease, 0.1..10.0),
             leadHold = reader.seconds("lead.hold.s", usual.leadHold, 1.0..60.0),
             blocksPerZone = reader.whole("blocks.per-zone", usual.blocksPerZone, 0..64),
             stragglerMargin = reader.number("straggler.margin", usual.stragglerMargin, 1.0..100.0),
--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -49,6 +49,8 @@
     private val leadership: Leadership,
     private val roomBook: RoomBook,
     private val teams: Map<TeamName, Team>,
+    /** By load, the multiples of a deadline that the objectives count. */
+    private val deadlineTimes: Map<String, List<Double>>,
     private val noteOf: (MemberId) -> PeerNote?,
 ) {
     private val inFlight = HashSet<JobId>()
@@ -56,7 +58,7 @@
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
         val acceptedAtMs = job.live!!.value.acceptedAtMs
-        val dueAtMs = spec.deadlineS?.let { acceptedAtMs + (it * 1000).toLong() } ?: Long.MAX_VALUE
+        val left get() = spec.tasks - job.done.cardinality()
     }
 
     fun round() {
@@ -64,21 +66,38 @@
         val candidates = gather(uses)
         val waiting = candidates.filter { it.job.id !in inFlight && !it.job.cancelled && !it.job.complete }
             .filter { it.standing.size + it.job.done.cardinality() < it.spec.tasks }
-            .sortedWith(
-                compareBy<Candidate> { it.spec.priority }
-                    .thenBy { if (it.guaranteed) 0 else 1 }
-                    .thenBy { it.dueAtMs }
-                    .thenBy { it.acceptedAtMs },
-            )
         if (waiting.isEmpty()) return
         val rooms = roomBook.rooms(noteOf).filter { it.machine.usable }
         if (rooms.isEmpty()) return
-        for (candidate in waiting) {
+        for (candidate in order(waiting, rooms)) {
             val use = uses[candidate.spec.team] ?: continue
             assign(candidate, use, rooms)
         }
     }
 
+    private fun order(waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
+        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
+        val (dated, undated) = waiting.partition { it.spec.deadlineS != null }
+        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus)
+        val rank = HashMap<JobId, Int>()
+        planned.forEachIndexed { index, candidate -> rank[candidate.job.id] = index }
+        return (undated + planned).sortedWith(
+            compareBy<Candidate> { it.spec.priority }
+                .thenBy { if (it.guaranteed) 0 else 1 }
+                .thenBy { rank[it.job.id] ?: -1 }
+                .thenBy { it.acceptedAtMs },
+        )
+    }
+
+    private fun plannedJob(candidate: Candidate): PlannedJob<Candidate> {
+        val spec = candidate.spec
+        val waitedS = (loop.wallMillis() - candidate.acceptedAtMs) / 1000.0
+        val deadlineS = spec.deadlineS ?: 0.0
+        // Even with all room of the world, the last task still needs its own run time.
+        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS }
+        return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due)
+    }
+
     private fun gather(uses: Map<TeamName, TeamUse>): List<Candidate> {
         val candidates = ArrayList<Candidate>()
         val inOrder = replica.jobs.values.filter { it.live != null }.sortedBy { it.live!!.value.acceptedAtMs }
@@ -227,6 +246,7 @@
     }
 
     private companion object {
+        val ONCE = listOf(1.0)
         const val MOST_TASKS = 2000
         const val MOST_PAGES = 8
         val AFTER_REFUSAL = 200.milliseconds
--- a/src/main/kotlin/copperglade/coordination/Blocks.kt
+++ b/src/main/kotlin/copperglade/coordination/Blocks.kt
@@ -43,6 +43,7 @@
     private val leadership: Leadership,
     private val blocks: BlockMap,
     private val zoneOfMember: Map<MemberId, String>,
+    private val vouching: Vouching,
 ) {
     private val inFlight = HashSet<BlockName>()
 
@@ -61,6 +62,8 @@
         }
         for (block in orphans) {
             if (block in inFlight) continue
+            val holder = replica.blocks[block]?.value?.member
+            if (holder != null && holder !in replica.members && !vouching.mayGrantAway(holder)) continue
             val chosen = choose(block, load) ?: continue
             load.merge(chosen, 1, Int::plus)
             grant(block, chosen)
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -21,7 +21,6 @@
 import copperglade.transport.Request
 import copperglade.transport.RequestHandler
 import copperglade.transport.Responder
-import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -40,11 +39,17 @@
         StateLimits(settings.stateRps, settings.stateWriteRps, settings.valueKb, settings.transactionWrites),
     )
     private val replica = Replica(loop, store)
-    private val membership = Membership(loop, store, replica, settings.member, holdLength(settings, tuning))
+    private val vouching = Vouching(loop, http, store, settings.member, settings.peers)
+    private val staleness = stalenessLimit(settings, tuning)
+    private val membership = Membership(
+        loop, store, replica, vouching, settings.member,
+        holdLength = minOf(staleness, (settings.leaseS * tuning.holdPartOfLease).seconds),
+        stalenessLimit = staleness,
+    )
     private val leadership = Leadership(loop, store, replica, membership, tuning.leadHold)
     private val zoneOfMember = settings.peers.associate { it.member to it.zone } + (settings.member to settings.zone)
     private val blockMap = BlockMap(settings.zones, tuning.blocksPerZone.takeIf { it > 0 } ?: zoneOfMember.size)
-    private val granter = BlockGranter(store, replica, leadership, blockMap, zoneOfMember)
+    private val granter = BlockGranter(store, replica, leadership, blockMap, zoneOfMember, vouching)
     private val types = TypeBook(loop, http, settings.cloud)
     private val cloudBudget = TokenBucket(settings.cloudRps * CLOUD_SHARE / zoneOfMember.size, 2.0, loop.now())
     private val profiles =
@@ -58,7 +63,7 @@
     )
     private val notes = Notes(loop, http, settings.peers, ::composeNote, ::heardNote)
     private val roomBook = RoomBook(replica, blockMap)
-    private val assigner = Assigner(loop, store, replica, leadership, roomBook, settings.teams, ::noteOf)
+    private val assigner = Assigner(loop, store, replica, leadership, roomBook, settings.teams, settings.deadlineTimes, ::noteOf)
     private val closer = Closer(store, replica, leadership, settings.transactionWrites)
     private val fleet = Fleet(
         loop, http, settings.cloud, cloudBudget, replica, leadership, membership, types, settings.teams, blockMap,
@@ -78,6 +83,7 @@
         types.start()
         replica.start()
         membership.start()
+        vouching.start()
         leadership.start()
         owner.start()
         notes.start()
@@ -187,6 +193,10 @@
     }
 
     private fun handlePeer(request: Request, responder: Responder) {
+        if (request.path == PeerWire.VOUCH_PATH) {
+            val vouched = vouching.vouch(MemberId(request.body.decodeToString()))
+            return responder.send(Reply(if (vouched) OK else CONFLICT))
+        }
         if (request.path != PeerWire.PATH) return responder.send(Reply(NOT_FOUND))
         val note = PeerWire.decode(request.body)
         if (note != null) notes.receive(note)
@@ -197,6 +207,7 @@
         private const val OK = 200
         private const val BAD_REQUEST = 400
         private const val NOT_FOUND = 404
+        private const val CONFLICT = 409
         private const val METHOD_NOT_ALLOWED = 405
         private const val UNAVAILABLE = 503
         private const val SILENT_MS = 3000L
@@ -204,18 +215,16 @@
         private const val CLOUD_SHARE = 0.9
         private const val ROUND_REST = 3
         private val SHORTEST_ROUND = 60.milliseconds
-        private val log = LoggerFactory.getLogger("controller")
 
         /**
-         * At 30 s, the design's first choice, an owner cut off from the state service could keep a worker going past
-         * the time in which a cancelled job must be gone: the hold, then the worker's lease.
+         * How long a process may act on what it knew last. At 30 s, the design's first choice, an owner cut off from
+         * the state service could keep a worker going past the time in which a cancelled job must be gone: this time,
+         * then the worker's lease.
          */
-        fun holdLength(settings: PlatformSettings, tuning: Tuning): Duration {
+        fun stalenessLimit(settings: PlatformSettings, tuning: Tuning): Duration {
             val longest = (settings.cancelS - settings.leaseS).seconds - tuning.holdMargin
             require(longest >= 1.seconds) { "cancel_s leaves no time for a hold beside lease_s" }
-            val length = minOf(tuning.holdLimit, longest)
-            log.info("holds last {}", length)
-            return length
+            return minOf(tuning.holdLimit, longest)
         }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Membership.kt
+++ b/src/main/kotlin/copperglade/coordination/Membership.kt
@@ -83,8 +83,10 @@
     private val loop: EventLoop,
     private val store: StateClient,
     private val replica: Replica,
+    private val vouching: Vouching,
     val self: MemberId,
     private val holdLength: Duration,
+    private val stalenessLimit: Duration,
 ) {
     private var hold = Hold(loop, store, holdLength)
 
@@ -97,16 +99,18 @@
     val incarnation: Incarnation? get() = hold.permit?.takeIf { state == MemberState.MEMBER }?.let { Incarnation(it.number) }
 
     /**
-     * Whether this process may act at this very moment. What it knows must not be older than a hold either: one that
-     * was refused by the state service and is served again may renew its hold before it has heard of a cancellation.
+     * Whether this process may act at this very moment: on its hold, or on what its peers promised in an outage. In
+     * either case its knowledge must be recent enough for a cancellation it has not heard of to be met in time.
      */
     val mayAct: Boolean
-        get() = state == MemberState.MEMBER && hold.alive && loop.now() < replica.asOf + holdLength
+        get() = state == MemberState.MEMBER && (hold.alive || loop.now() < vouching.vouchedUntil) &&
+            loop.now() < replica.asOf + stalenessLimit
 
     /** Called whenever a life of this member begins or ends. */
     var onChange: () -> Unit = {}
 
     fun start() {
+        vouching.intact = { state == MemberState.MEMBER && (hold.alive || loop.now() < vouching.vouchedUntil) }
         join()
         extendLater()
     }
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -7,6 +7,7 @@
 class Tuning(
     val holdLimit: Duration = 30.seconds,
     val holdMargin: Duration = 2.seconds,
+    val holdPartOfLease: Double = 0.55,
     val leadHold: Duration = 4.seconds,
     val blocksPerZone: Int = 0,
     val stragglerMargin: Double = 1.0,
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Vouching.kt
@@ -0,0 +1,83 @@
+package copperglade.coordination
+
+import copperglade.protocol.MemberId
+import copperglade.protocol.Moment
+import copperglade.protocol.Peer
+import copperglade.protocol.PeerWire
+import copperglade.storage.StateClient
+import copperglade.transport.EventLoop
+import copperglade.transport.HttpCaller
+import copperglade.transport.Method
+import copperglade.transport.Request
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * How short holds outlive an outage of the state service. A member that the service has stopped answering asks every
+ * other controller to vouch: not to grant its blocks away for the next [PROMISE]. A controller vouches only while the
+ * service is silent to itself as well. With a promise from all of them, asked for while the member's right was still
+ * intact, nobody can have granted or will grant its blocks, whatever the service does with its hold meanwhile.
+ *
+ * Why that is enough: a grant needs that the holder's incarnation was seen to be gone. As long as the right is intact
+ * it has not gone, so no grant against it can be on its way either, not even a late one. A controller that restarts
+ * forgets its promises, hence grants nothing of others for one [PROMISE] after its start. Without the peer link there
+ * are no promises, and the hold alone decides.
+ */
+class Vouching(
+    private val loop: EventLoop,
+    private val http: HttpCaller,
+    private val store: StateClient,
+    private val self: MemberId,
+    private val peers: List<Peer>,
+) {
+    private val startedAt = loop.now()
+    private val promisedBy = HashMap<MemberId, Moment>()
+    private val promisedTo = HashMap<MemberId, Moment>()
+    private val asking = HashSet<MemberId>()
+
+    /** Whether our right was intact up to now; else a promise would come too late to mean anything. */
+    var intact: () -> Boolean = { false }
+
+    /** Until when all others have promised not to grant our blocks away. */
+    val vouchedUntil: Moment
+        get() = peers.minOfOrNull { promisedBy[it.member]?.ms ?: Moment.NEVER.ms }?.let { Moment(it) } ?: Moment.NEVER
+
+    fun start() {
+        if (silent() && intact()) peers.filter { it.member !in asking }.forEach(::ask)
+        loop.after(PACE) { start() }
+    }
+
+    private fun silent() = loop.now() >= store.lastGood + SILENCE
+
+    private fun ask(peer: Peer) {
+        val sent = loop.now()
+        asking += peer.member
+        val request = Request(Method.POST, PeerWire.VOUCH_PATH, self.text.encodeToByteArray())
+        http.call(peer.endpoint, request, TIMEOUT) { reply ->
+            asking -= peer.member
+            if (reply?.status == OK && intact()) promisedBy[peer.member] = sent + PROMISE * (1.0 - Hold.DRIFT) - MARGIN
+        }
+    }
+
+    /** Whether we vouch for [member]; if so, we keep to it. */
+    fun vouch(member: MemberId): Boolean {
+        if (!silent()) return false
+        promisedTo[member] = loop.now() + PROMISE
+        return true
+    }
+
+    /** Whether blocks of [holder] may be granted to somebody else. */
+    fun mayGrantAway(holder: MemberId): Boolean {
+        val now = loop.now()
+        return now >= startedAt + PROMISE && now >= (promisedTo[holder] ?: Moment.NEVER)
+    }
+
+    private companion object {
+        const val OK = 200
+        val PROMISE = 3.seconds
+        val MARGIN = 100.milliseconds
+        val SILENCE = 1.seconds
+        val PACE = 400.milliseconds
+        val TIMEOUT = 1.seconds
+    }
+}
--- a/src/main/kotlin/copperglade/protocol/PeerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerWire.kt
@@ -41,6 +41,9 @@
 /** Notes in binary, through Okio buffers. */
 object PeerWire {
     const val PATH = "/note"
+
+    /** Body: the name of the member that asks to be vouched for. */
+    const val VOUCH_PATH = "/vouch"
     private const val VERSION = 1
     private const val MOST_ITEMS = 100_000
 
--- a/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
+++ b/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
@@ -30,6 +30,8 @@
     val state: Endpoint,
     val zones: List<String>,
     val teams: Map<TeamName, Team>,
+    /** By load, the multiples of its deadline that its jobs are measured by. */
+    val deadlineTimes: Map<String, List<Double>>,
     val reportS: Double,
     val leaseS: Double,
     val cancelS: Double,
@@ -59,6 +61,7 @@
                 state = outside.endpoint("state"),
                 zones = deployment.items("zones").map { it.textValue() ?: throw BadSetting("deployment.zones: not strings") },
                 teams = deployment.items("teams").map(::team).associateBy { it.name },
+                deadlineTimes = deadlineTimes(deployment),
                 reportS = workers.positive("report_s"),
                 leaseS = workers.positive("lease_s"),
                 cancelS = workers.positive("cancel_s"),
@@ -76,6 +79,12 @@
             return settings
         }
 
+        private fun deadlineTimes(deployment: JsonNode): Map<String, List<Double>> = deployment.present("objectives")
+            ?.filter { it.text("kind") == "deadline" && it.text("class") != null }
+            ?.groupBy({ it.text("class")!! }, { it.number("times") ?: 1.0 })
+            ?.mapValues { (_, times) -> times.sorted() }
+            .orEmpty()
+
         private fun team(node: JsonNode) = Team(
             TeamName(node.words("name")),
             node.amount("cpus"),
