--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -48,6 +48,7 @@
     private val replica: Replica,
     private val leadership: Leadership,
     private val roomBook: RoomBook,
+    private val types: TypeBook,
     private val teams: Map<TeamName, Team>,
     /** By load, the multiples of a deadline that the objectives count. */
     private val deadlineTimes: Map<String, List<Double>>,
@@ -162,25 +163,28 @@
 
     private fun choose(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): RoomBook.Room? {
         var best: RoomBook.Room? = null
-        var bestRank = Int.MAX_VALUE
+        var bestCost = Double.MAX_VALUE
         for (room in rooms) {
             val machine = room.machine
             if (!spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
-            val rank = rank(spec, room) ?: continue
-            if (rank < bestRank || (rank == bestRank && room.free.cpus < best!!.free.cpus)) {
+            val cost = cost(spec, room) ?: continue
+            if (cost < bestCost || (cost == bestCost && room.free.cpus < best!!.free.cpus)) {
                 best = room
-                bestRank = rank
+                bestCost = cost
             }
         }
         return best
     }
 
-    /** Free room where the image is, then room of lower work there, then the same without the image. */
-    private fun rank(spec: JobSpec, room: RoomBook.Room): Int? {
-        val image = if (spec.image.name in room.machine.images) 0 else 2
-        if (spec.request.fitsIn(room.free)) return image
-        val yielding = room.yielding.drop(spec.priority.ordinal + 1).fold(room.free) { sum, more -> sum + more }
-        return if (spec.request.fitsIn(yielding)) image + 1 else null
+    /** What a task would cost there, or null where it doesn't fit even if lower work is stopped. */
+    private fun cost(spec: JobSpec, room: RoomBook.Room): Double? {
+        val preempts = !spec.request.fitsIn(room.free)
+        if (preempts) {
+            val yielding = room.yielding.drop(spec.priority.ordinal + 1).fold(room.free) { sum, more -> sum + more }
+            if (!spec.request.fitsIn(yielding)) return null
+        }
+        val machine = room.machine
+        return PlacementCost.of(spec, types[machine.type], machine.spot, spec.image.name in machine.images, preempts)
     }
 
     private fun take(room: RoomBook.Room, spec: JobSpec) {
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -483,7 +483,7 @@
 
     private fun allowed(spec: JobSpec, machine: Machine) = spec.allows(machine.typeName, machine.zone, machine.spot)
 
-    /** Where the image is, then where it is being fetched, then the fullest: what is empty can be returned. */
+    /** The cheapest place, then the fullest: what is empty can be returned. */
     private fun choose(run: Run, rooms: List<Candidate>): Candidate? = rooms
         .filter {
             run.spec.request.fitsIn(it.free) && allowed(run.spec, it.machine) && it.machine.name !in run.avoid &&
@@ -491,14 +491,13 @@
         }
         .minWithOrNull(
             compareBy<Candidate> { if (it.machine.name == run.target) 0 else 1 }
-                .thenBy { imageRank(it.machine, run.spec) }
+                .thenBy { cost(run.spec, it, preempts = false) }
                 .thenBy { it.free.cpus },
         )
 
-    private fun imageRank(machine: Machine, spec: JobSpec): Int = when {
-        machine.hasImage(spec.image) -> 0
-        machine.fetching(spec.image) -> 1
-        else -> 2
+    private fun cost(spec: JobSpec, room: Candidate, preempts: Boolean): Double {
+        val there = room.machine.hasImage(spec.image) || room.machine.fetching(spec.image)
+        return PlacementCost.of(spec, room.type, room.machine.spot, there, preempts)
     }
 
     /** Stops work of lower priority for [run]; true while such work is on its way out. */
@@ -506,7 +505,7 @@
         val plan = rooms
             .filter { allowed(run.spec, it.machine) && it.machine.name !in run.avoid }
             .mapNotNull { room -> victims(run, room)?.let { room to it } }
-            .minWithOrNull(compareBy({ imageRank(it.first.machine, run.spec) }, { it.second.size })) ?: return false
+            .minWithOrNull(compareBy({ cost(run.spec, it.first, preempts = true) }, { it.second.size })) ?: return false
         for (victim in plan.second) stop(victim, StopReason.PREEMPTED)
         return true
     }
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -5,6 +5,7 @@
 import copperglade.protocol.Endpoint
 import copperglade.protocol.Json
 import copperglade.protocol.JobKind
+import copperglade.protocol.JobSpec
 import copperglade.protocol.ListedMachine
 import copperglade.protocol.MachineName
 import copperglade.protocol.MachineRoom
@@ -36,10 +37,9 @@
 
 /** How many CPUs the unfinished jobs could use now, within their teams' limits. */
 object DemandEstimate {
-    private const val SHARE_OF_TIME_LEFT = 0.6
-    private const val SHORTEST_S = 1.0
+    private const val SHARE_OF_DEADLINE = 0.6
 
-    fun of(jobs: Collection<Job>, teams: Map<TeamName, Team>, nowMs: Long): Demand {
+    fun of(jobs: Collection<Job>, teams: Map<TeamName, Team>): Demand {
         val used = HashMap<TeamName, Double>()
         var ordinary = 0.0
         var flexible = 0.0
@@ -48,20 +48,21 @@
             if (job.cancelled || job.complete) continue
             val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
             val before = used[spec.team] ?: 0.0
-            val cpus = min((spec.tasks - job.done.cardinality()) * spec.request.cpus * atOnce(job, nowMs), max(0.0, limit - before))
+            val cpus = min((spec.tasks - job.done.cardinality()) * spec.request.cpus * atOnce(spec), max(0.0, limit - before))
             used[spec.team] = before + cpus
             if (spec.spotAllowed) flexible += cpus else ordinary += cpus
         }
         return Demand(ordinary, flexible)
     }
 
-    /** The part of a job's remaining tasks that must run at the same time for the job to be in time. */
-    private fun atOnce(job: Job, nowMs: Long): Double {
-        val live = job.live!!.value
-        val spec = live.spec
+    /**
+     * The part of a job's tasks that must run at the same time for a job that starts at once to be in time. A job
+     * that has waited gets no more than that: by the time that further machines are up, others have finished.
+     */
+    private fun atOnce(spec: JobSpec): Double {
         if (spec.kind != JobKind.ARRAY) return 1.0
-        val left = spec.deadlineS?.let { it - (nowMs - live.acceptedAtMs) / 1000.0 } ?: (spec.estimateS * 2)
-        return (spec.estimateS / max(left * SHARE_OF_TIME_LEFT, SHORTEST_S)).coerceIn(0.0, 1.0)
+        val time = (spec.deadlineS ?: (spec.estimateS * 2)) * SHARE_OF_DEADLINE
+        return if (time <= spec.estimateS) 1.0 else spec.estimateS / time
     }
 }
 
@@ -161,7 +162,7 @@
 
     /** Demand comes in bursts; the level follows it up at once and down slowly. */
     private fun updateLevels(now: Moment) {
-        val demand = DemandEstimate.of(replica.jobs.values, teams, loop.wallMillis())
+        val demand = DemandEstimate.of(replica.jobs.values, teams)
         val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / FADE_S)
         ordinaryLevel = max(demand.ordinary, ordinaryLevel * fade)
         flexibleLevel = max(demand.flexible, flexibleLevel * fade)
