--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -3,9 +3,11 @@
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.MemberId
 import copperglade.protocol.PeerNote
+import copperglade.protocol.Priority
 import copperglade.protocol.Resources
 import copperglade.protocol.Stamp
 import copperglade.protocol.Team
@@ -70,9 +72,14 @@
         if (waiting.isEmpty()) return
         val rooms = roomBook.rooms(noteOf).filter { it.machine.usable }
         if (rooms.isEmpty()) return
+        // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
+        // queue of decisions about lesser work would hold up the urgent ones behind it.
+        var affordable = store.affordableWrites()
         for (candidate in order(waiting, rooms)) {
+            val reserve = if (candidate.spec.priority <= Priority.HIGH) Int.MIN_VALUE else KEPT_FOR_URGENT
+            if (affordable <= reserve) continue
             val use = uses[candidate.spec.team] ?: continue
-            assign(candidate, use, rooms)
+            affordable -= assign(candidate, use, rooms)
         }
     }
 
@@ -119,9 +126,11 @@
         return candidates
     }
 
-    private class Choice(val task: Int, val room: RoomBook.Room)
+    /** A task's block, and the machine that was counted on, unless the task is to wait there for its turn. */
+    private class Choice(val task: Int, val block: BlockName, val room: RoomBook.Room?)
 
-    private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>) {
+    /** Returns how many writes it took. */
+    private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>): Int {
         val spec = candidate.spec
         val taken = candidate.job.done.clone() as BitSet
         candidate.standing.forEach { taken.set(it.task) }
@@ -131,16 +140,17 @@
         while (task < spec.tasks && choices.size < MOST_TASKS) {
             val after = use.used + spec.request
             if (!use.team.allows(after.cpus, after.gpus)) break
-            val room = choose(spec, zones, rooms) ?: break
-            take(room, spec)
-            zones.add(room.machine.zone)
+            val room = choose(spec, zones, rooms)
+            if (room != null) take(room, spec)
+            val block = room?.block ?: chooseAhead(spec, zones, rooms) ?: break
+            zones.add(zoneOf(block))
             use.used = after
-            choices += Choice(task, room)
+            choices += Choice(task, block, room)
             task = taken.nextClearBit(task + 1)
         }
-        if (choices.isNotEmpty()) {
-            choices.groupBy { it.task / Keys.PAGE_TASKS }.entries.take(MOST_PAGES).forEach { (page, chosen) -> write(candidate.job, page, chosen) }
-        }
+        val pages = choices.groupBy { it.task / Keys.PAGE_TASKS }.entries.take(MOST_PAGES)
+        pages.forEach { (page, chosen) -> write(candidate.job, page, chosen) }
+        return pages.size
     }
 
     /** What `oneZone` and `spread` leave open, given the job's other tasks. */
@@ -176,6 +186,19 @@
         return best
     }
 
+    /** A block whose machines are full, but where the task would soon have its turn. */
+    private fun chooseAhead(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): BlockName? {
+        if (spec.kind != JobKind.ARRAY) return null
+        val chosen = rooms.asSequence()
+            .filter { spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
+            .filter { spec.image.name in it.machine.images }
+            .mapNotNull { roomBook.ahead[it.block] }
+            .maxByOrNull { it.cpus }
+        if (chosen == null || chosen.cpus < spec.request.cpus) return null
+        chosen.cpus -= spec.request.cpus
+        return chosen.block
+    }
+
     /** What a task would cost there, or null where it doesn't fit even if lower work is stopped. */
     private fun cost(spec: JobSpec, room: RoomBook.Room): Double? {
         val preempts = !spec.request.fitsIn(room.free)
@@ -206,7 +229,7 @@
         conditions += leadership.condition
         conditions += Condition(Keys.live(job.id), job.liveStamp())
         conditions += Condition(Keys.page(job.id, page), present?.stamp ?: Stamp.ABSENT)
-        for ((block, chosen) in choices.groupBy { it.room.block }) {
+        for ((block, chosen) in choices.groupBy { it.block }) {
             val record = replica.blocks[block] ?: return
             conditions += Condition(Keys.block(block), record.stamp)
             val tasks = BitSet()
@@ -222,7 +245,14 @@
             when (outcome) {
                 is TransactionOutcome.Applied -> {
                     log.debug("{} tasks of {} assigned", choices.size, job.id)
-                    choices.forEach { roomBook.gave(it.room, outcome.stamp, job.spec?.request ?: Resources.ZERO) }
+                    val request = job.spec?.request ?: Resources.ZERO
+                    for (choice in choices) {
+                        if (choice.room != null) {
+                            roomBook.gave(choice.room, outcome.stamp, request)
+                        } else {
+                            roomBook.gaveAhead(choice.block, outcome.stamp, request.cpus)
+                        }
+                    }
                     replica.applied(transaction, outcome.stamp)
                     inFlight -= job.id
                 }
@@ -251,6 +281,7 @@
 
     private companion object {
         val ONCE = listOf(1.0)
+        const val KEPT_FOR_URGENT = 4
         const val MOST_TASKS = 2000
         const val MOST_PAGES = 8
         val AFTER_REFUSAL = 200.milliseconds
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -24,6 +24,7 @@
 import copperglade.protocol.Trip
 import copperglade.protocol.WorkerWire
 import copperglade.protocol.secondsSince
+import copperglade.storage.ImageRecord
 import copperglade.storage.Job
 import copperglade.storage.Replica
 import copperglade.transport.EventLoop
@@ -186,7 +187,9 @@
 
     private fun hear(report: Report): Machine {
         val machine = machines.getOrPut(report.machine) {
-            Machine(report.machine, report.zone, report.spot, report.type, report.endpoint, loop.now())
+            Machine(report.machine, report.zone, report.spot, report.type, report.endpoint, loop.now()).also { fresh ->
+                context.replica.images[name]?.value?.byMachine?.get(fresh.name)?.let(fresh::rememberImages)
+            }
         }
         val before = machine.session
         if (machine.update(report, loop.now())) {
@@ -474,10 +477,13 @@
                 continue
             }
             hopeless += run.task.job
-            if (!preemptFor(run, rooms) && now >= run.since + PATIENCE) finish(run, RunState.GONE, "no room")
+            if (!preemptFor(run, rooms) && now >= run.since + patience(run)) finish(run, RunState.GONE, "no room")
         }
     }
 
+    /** Arrays are assigned a little ahead of the room there is; a replica that finds none should go elsewhere soon. */
+    private fun patience(run: Run) = if (run.spec.kind == JobKind.ARRAY) ARRAY_PATIENCE else PATIENCE
+
     private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
 
     fun usable(machine: Machine, now: Moment): Boolean = fenced(machine) && !machine.draining && !machine.deleting &&
@@ -532,6 +538,17 @@
         return chosen.takeIf { it.isNotEmpty() && run.spec.request.fitsIn(free) }
     }
 
+    /** The images of the block's machines, as many as fit into a value of [limitBytes]. */
+    fun imageRecord(limitBytes: Int): ImageRecord {
+        var left = limitBytes
+        val known = machines.values.sortedBy { it.name.text }.mapNotNull { machine ->
+            val images = machine.cachedImages.takeLast(IMAGES_REMEMBERED)
+            left -= machine.name.text.length + BYTES_AROUND + images.sumOf { it.text.length + BYTES_AROUND }
+            if (images.isEmpty() || left < 0) null else machine.name to images
+        }
+        return ImageRecord(known.toMap())
+    }
+
     // ---- for the lead ----
 
     fun room(): BlockRoom {
@@ -565,7 +582,7 @@
                 machine.cachedImages,
             )
         }
-        return BlockRoom(name, baton, rooms)
+        return BlockRoom(name, baton, waiting.sumOf { it.cpus }, rooms)
     }
 
     companion object {
@@ -582,7 +599,10 @@
         private val UNSETTLED = 5.seconds
         private val RESEND = 1000.milliseconds
         private val COMMAND_TIMEOUT = 1500.milliseconds
+        private const val IMAGES_REMEMBERED = 12
+        private const val BYTES_AROUND = 6
         private val PATIENCE = 2.seconds
+        private val ARRAY_PATIENCE = 8.seconds
         private val SUSPECT = 10.seconds
         private val ORDER_OF_COMMANDS = listOf(Command.Reap::class, Command.Halt::class, Command.Start::class)
         private val log = LoggerFactory.getLogger("owner")
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -89,6 +89,9 @@
 
     fun fetching(image: Image): Boolean = runs.any { it.spec.image.name == image.name && it.state == RunState.FETCHING }
 
+    /** What a former owner knew of its images; their sizes are not known any more. */
+    fun rememberImages(names: List<ImageName>) = names.forEach { images.putIfAbsent(it, 0.0) }
+
     /** The worker keeps the most recently used images that its disk holds. */
     fun usedImage(image: Image, cacheGb: Double) {
         images.remove(image.name)
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -47,6 +47,29 @@
     fun start() {
         outcomes.start()
         tickLater()
+        rememberLater()
+    }
+
+    /** Keeps the image records up, at leisure: they spare fetches after a takeover, and nothing depends on them. */
+    private fun rememberLater() {
+        loop.after(REMEMBER_PACE) {
+            if (membership.mayAct) owned.values.filter { it.open }.forEach(::rememberImages)
+            rememberLater()
+        }
+    }
+
+    private fun rememberImages(block: BlockOwner) {
+        val present = replica.images[block.name]
+        val record = block.imageRecord((store.limits.valueKb * BYTES_OF_KB * PART_OF_VALUE).toInt())
+        if (record.byMachine == present?.value?.byMachine.orEmpty()) return
+        val key = Keys.images(block.name)
+        val transaction = Transaction(
+            listOf(Condition(Keys.block(block.name), Stamp(block.baton.number)), Condition(key, present?.stamp ?: Stamp.ABSENT)),
+            listOf(Write.Set(key, RecordCodec.encode(record))),
+        )
+        store.commit(Urgency.CLEANING, transaction) { outcome ->
+            if (outcome is TransactionOutcome.Applied) replica.applied(transaction, outcome.stamp)
+        }
     }
 
     private fun tickLater() {
@@ -193,6 +216,9 @@
     private companion object {
         const val OK = 200
         const val MISDIRECTED = 421
+        const val BYTES_OF_KB = 1024
+        const val PART_OF_VALUE = 0.8
+        val REMEMBER_PACE = 4.seconds
         val TICK = 100.milliseconds
         val RETRY = 200.milliseconds
         val DELETE_TIMEOUT = 5.seconds
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -1,6 +1,7 @@
 package copperglade.coordination
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** What the operators may set; `docs/operations.md` says what each is for. */
@@ -8,13 +9,13 @@
     val holdLimit: Duration = 30.seconds,
     val holdMargin: Duration = 2.seconds,
     val holdPartOfLease: Double = 0.55,
-    val leadHold: Duration = 4.seconds,
+    val leadHold: Duration = 2500.milliseconds,
     val blocksPerZone: Int = 0,
     val stragglerMargin: Double = 1.0,
     val nearestProfiles: Int = 8,
     val fittingSteps: Int = 4,
     val fittingRate: Double = 0.02,
     val profileCapacity: Int = 400,
-    val headroom: Double = 1.15,
-    val idleBeforeReturn: Duration = 15.seconds,
+    val headroom: Double = 1.2,
+    val idleBeforeReturn: Duration = 18.seconds,
 )
--- a/src/main/kotlin/copperglade/storage/Records.kt
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -4,12 +4,14 @@
 import com.fasterxml.jackson.databind.JsonNode
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
+import copperglade.protocol.ImageName
 import copperglade.protocol.Incarnation
 import copperglade.protocol.JobId
 import copperglade.protocol.JobSpec
 import copperglade.protocol.JobSpecCodec
 import copperglade.protocol.JobStatus
 import copperglade.protocol.Json
+import copperglade.protocol.MachineName
 import copperglade.protocol.MemberId
 import copperglade.protocol.ParsedJob
 import copperglade.protocol.Stamp
@@ -62,6 +64,9 @@
 /** Who owns a block; the stamp of the record is the baton of the block's workers. */
 data class BlockRecord(val member: MemberId, val incarnation: Incarnation)
 
+/** Which images the machines of a block are known to hold: only a hint, so that a new owner places as well as the last. */
+class ImageRecord(val byMachine: Map<MachineName, List<ImageName>>)
+
 data class MemberRecord(val incarnation: Incarnation)
 
 data class LeadRecord(val member: MemberId, val incarnation: Incarnation)
@@ -112,6 +117,8 @@
 
     fun member(id: MemberId) = "${NOW}member/$id"
 
+    fun images(block: BlockName) = "${NOW}images/$block"
+
     fun over(job: JobId) = "$OVER$job"
 
     fun parse(key: String): ParsedKey? {
@@ -124,6 +131,7 @@
             "task" -> JobId.parse(parts[1])?.let { ParsedKey.Page(it, parts[2].toInt()) }
             "work" -> JobId.parse(parts[1])?.let { ParsedKey.Work(it, WorkPlace(parts[2].toInt(), BlockName(parts[3]))) }
             "block" -> ParsedKey.Block(BlockName(parts[1]))
+            "images" -> ParsedKey.Images(BlockName(parts[1]))
             "member" -> ParsedKey.Member(MemberId(parts[1]))
             else -> null
         }
@@ -147,6 +155,8 @@
     class Block(val name: BlockName) : ParsedKey
 
     class Member(val id: MemberId) : ParsedKey
+
+    class Images(val block: BlockName) : ParsedKey
 }
 
 /** Records as JSON values. Short names: small values, many of them. */
@@ -206,7 +216,7 @@
 
     fun decodeWork(node: JsonNode): WorkRecord {
         val returned = HashMap<Int, BitSet>()
-        node.get("b")?.fields()?.forEach { (generation, tasks) -> returned[generation.toInt()] = Ranges.parse(tasks.asText()) }
+        node.get("b")?.properties()?.forEach { (generation, tasks) -> returned[generation.toInt()] = Ranges.parse(tasks.asText()) }
         return WorkRecord(node.ranges("d"), returned, node.ranges("x"))
     }
 
@@ -233,6 +243,15 @@
 
     fun decodeLead(node: JsonNode): LeadRecord? = decodeBlock(node)?.let { LeadRecord(it.member, it.incarnation) }
 
+    fun encode(record: ImageRecord): ByteArray = Json.write {
+        obj {
+            for ((machine, images) in record.byMachine) array(machine.text) { images.forEach { writeString(it.text) } }
+        }
+    }
+
+    fun decodeImages(node: JsonNode): ImageRecord =
+        ImageRecord(node.properties().associate { (machine, images) -> MachineName(machine) to images.map { ImageName(it.asText()) } })
+
     fun encode(record: MemberRecord): ByteArray = Json.write {
         obj { writeNumberField("inc", record.incarnation.number) }
     }
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -32,6 +32,7 @@
     val jobs = HashMap<JobId, Job>()
     val blocks = HashMap<BlockName, Stamped<BlockRecord>>()
     val members = HashMap<MemberId, Stamped<MemberRecord>>()
+    val images = HashMap<BlockName, Stamped<ImageRecord>>()
     var lead: Stamped<LeadRecord>? = null
         private set
     private val over = object : LinkedHashMap<JobId, EndRecord>(64, 0.75f, true) {
@@ -102,6 +103,7 @@
         jobs.clear()
         blocks.clear()
         members.clear()
+        images.clear()
         lead = null
         dropped.clear()
     }
@@ -216,6 +218,9 @@
                 touched.standing = true
                 RecordCodec.decodeMember(value)?.let { members[parsed.id] = Stamped(it, stamp) }
             }
+            is ParsedKey.Images -> if (newer(stamp, images[parsed.block])) {
+                images[parsed.block] = Stamped(RecordCodec.decodeImages(value), stamp)
+            }
             ParsedKey.Lead -> if (newer(stamp, lead)) {
                 touched.standing = true
                 RecordCodec.decodeLead(value)?.let { lead = Stamped(it, stamp) }
@@ -238,6 +243,7 @@
                 touched.standing = true
                 members.remove(parsed.id)
             }
+            is ParsedKey.Images -> if (older(images[parsed.block], stamp)) images.remove(parsed.block)
             ParsedKey.Lead -> if (older(lead, stamp)) {
                 touched.standing = true
                 lead = null
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -126,6 +126,9 @@
     /** How much of the write budget is left, from 0 to 1: batches widen as it shrinks. */
     fun writeLevel(): Double = writes.level(loop.now())
 
+    /** Writes that could go out at once, were nothing else waiting. */
+    fun affordableWrites(): Int = writes.available(loop.now()) - queues.values.sumOf { queue -> queue.sumOf { it.transaction.writes.size } }
+
     /** Whether a further transaction of a user would have to wait for long. */
     fun crowded(): Boolean = queues.getValue(Urgency.USER).size >= MOST_QUEUED
 
--- a/src/main/kotlin/copperglade/storage/TokenBucket.kt
+++ b/src/main/kotlin/copperglade/storage/TokenBucket.kt
@@ -30,6 +30,11 @@
         tokens -= count
     }
 
+    fun available(now: Moment): Int {
+        refill(now)
+        return tokens.toInt().coerceAtLeast(0)
+    }
+
     /** How full the bucket is, from 0 to 1. */
     fun level(now: Moment): Double {
         refill(now)
--- a/src/test/kotlin/copperglade/protocol/WireTest.kt
+++ b/src/test/kotlin/copperglade/protocol/WireTest.kt
@@ -66,7 +66,7 @@
         )
         val note = PeerNote(
             MemberId("m"), Incarnation(3), Stamp(9), 12, leads = true,
-            listOf(BlockRoom(BlockName("z.0"), Baton(4), listOf(room))), listOf(BlockName("z.1")), listOf(MachineName("i-2")),
+            listOf(BlockRoom(BlockName("z.0"), Baton(4), 2.5, listOf(room))), listOf(BlockName("z.1")), listOf(MachineName("i-2")),
         )
         val bytes = PeerWire.encode(note)
         val again = PeerWire.decode(bytes)!!
