--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -87,6 +87,9 @@
     )
     private val desk = JobDesk(loop, store, replica, types, settings.teams)
 
+    private val submissions = Latencies(loop, "submissions")
+    private val polls = Latencies(loop, "polls")
+
     /** Users, workers and health checks. */
     val clientHandler = RequestHandler(::handleClient)
 
@@ -104,6 +107,8 @@
         owner.start()
         notes.start()
         fleet.start()
+        submissions.start()
+        polls.start()
         leadLater(SHORTEST_ROUND)
     }
 
@@ -162,7 +167,7 @@
         val path = request.path.substringBefore('?')
         when {
             path == WorkerWire.REPORT_PATH -> onPost(request, responder) { checkin(request, responder) }
-            path == UserWire.JOBS_PATH -> onPost(request, responder) { desk.submit(request.body, responder) }
+            path == UserWire.JOBS_PATH -> onPost(request, responder) { desk.submit(request.body, submissions.timed(responder)) }
             path == UserWire.HEALTH_PATH -> if (request.method ==
                 Method.GET
             ) {
@@ -183,7 +188,7 @@
         when {
             id == null -> responder.send(Reply(NOT_FOUND, UserWire.error("no such job")))
             cancelling -> onPost(request, responder) { desk.cancel(id, responder) }
-            request.method == Method.GET -> desk.poll(id, responder)
+            request.method == Method.GET -> desk.poll(id, polls.timed(responder))
             else -> wrongMethod(responder)
         }
     }
