Large writes get their turn; clearing up no longer holds up assignments

Cause: a closing transaction needed a full bucket, which urgent writes kept from filling; the queue behind it made the lead believe that it could write nothing.

--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -75,7 +75,7 @@
         if (rooms.isEmpty()) return
         // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
         // queue of decisions about lesser work would hold up the urgent ones behind it.
-        var affordable = store.affordableWrites()
+        var affordable = store.affordableAssignments()
         for (candidate in order(waiting, rooms)) {
             val reserve = if (candidate.spec.priority <= Priority.HIGH) Int.MIN_VALUE else KEPT_FOR_URGENT
             if (affordable <= reserve) continue
@@ -145,7 +145,11 @@
             if (!use.team.allows(after.cpus, after.gpus)) break
             val room = choose(spec, zones, rooms)
             if (room != null) take(room, spec)
-            val block = room?.block ?: chooseAhead(spec, zones, rooms) ?: break
+            val block = room?.block ?: chooseAhead(spec, zones, rooms)
+            if (block == null) {
+                keepRoom(spec, zones, rooms)
+                break
+            }
             zones.add(zoneOf(block))
             use.used = after
             choices += Choice(task, block, room)
@@ -174,12 +178,19 @@
 
     private fun zoneOf(block: BlockName) = block.text.substringBeforeLast('.')
 
+    /** Lets the machine that comes closest to holding the task gather room for it. */
+    private fun keepRoom(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>) {
+        rooms.filter { !it.kept && spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
+            .maxByOrNull { it.free.cpus }
+            ?.kept = true
+    }
+
     private fun choose(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): RoomBook.Room? {
         var best: RoomBook.Room? = null
         var bestCost = Double.MAX_VALUE
         for (room in rooms) {
             val machine = room.machine
-            if (!spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
+            if (room.kept || !spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
             val cost = cost(spec, room) ?: continue
             if (cost < bestCost || (cost == bestCost && room.free.cpus < best!!.free.cpus)) {
                 best = room
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -518,8 +518,12 @@
                 settle(chosen.machine)
                 continue
             }
-            hopeless += run.task.job
-            if (!preemptFor(run, rooms) && now >= run.since + patience(run)) finish(run, RunState.GONE, "no room")
+            if (preemptFor(run, rooms)) continue
+            // Room gathers for it on one machine, or smaller tasks would take every piece that comes free.
+            if (hopeless.add(run.task.job)) {
+                rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
+            }
+            if (now >= run.since + patience(run)) finish(run, RunState.GONE, "no room")
         }
     }
 
--- a/src/main/kotlin/copperglade/coordination/Notes.kt
+++ b/src/main/kotlin/copperglade/coordination/Notes.kt
@@ -63,7 +63,10 @@
 class RoomBook(private val replica: Replica, private val blockMap: BlockMap) {
     private class Given(val block: BlockName, val machine: MachineName, val stamp: Stamp, val request: Resources)
 
-    class Room(val block: BlockName, val machine: MachineRoom, var free: Resources, val yielding: Array<Resources>)
+    class Room(val block: BlockName, val machine: MachineRoom, var free: Resources, val yielding: Array<Resources>) {
+        /** Kept for a task that doesn't fit yet: small ones must not take every piece of room that comes free. */
+        var kept = false
+    }
 
     /** What may be assigned to a block beyond its room, so that no machine idles until the lead hears of its room. */
     class Ahead(val block: BlockName, var cpus: Double)
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -126,9 +126,14 @@
     /** How much of the write budget is left, from 0 to 1: batches widen as it shrinks. */
     fun writeLevel(): Double = writes.level(loop.now())
 
-    /** Writes that could go out at once, were nothing else waiting. */
-    fun affordableWrites(): Int =
-        writes.available(loop.now()) - queues.values.sumOf { queue -> queue.sumOf { it.transaction.writes.size } }
+    /**
+     * Assignments that could be written at once. What is less urgent doesn't count: on a quiet bench day a queue of
+     * clearing up kept this below 0, nothing was assigned any more, and 28 machines stood idle.
+     */
+    fun affordableAssignments(): Int {
+        val ahead = queues.filterKeys { it <= Urgency.ASSIGNMENT }.values.sumOf { queue -> queue.sumOf { it.transaction.writes.size } }
+        return writes.available(loop.now()) - ahead
+    }
 
     /** Whether a further transaction of a user would have to wait for long. */
     fun crowded(): Boolean = queues.getValue(Urgency.USER).size >= MOST_QUEUED
--- a/src/main/kotlin/copperglade/storage/TokenBucket.kt
+++ b/src/main/kotlin/copperglade/storage/TokenBucket.kt
@@ -16,10 +16,13 @@
         tokens = min(tokens, rate * burstS)
     }
 
-    /** Takes [count] if there are as many; a count above the burst passes when the bucket is full. */
+    /**
+     * Takes [count] if there are as many. A large count passes when the bucket is half full, and what comes later pays
+     * for the rest: waiting for a bucket that small takers keep from filling up, it might wait for ever.
+     */
     fun tryTake(count: Int, now: Moment): Boolean {
         refill(now)
-        if (tokens < min(count.toDouble(), perSecond * burstS)) return false
+        if (tokens < min(count.toDouble(), perSecond * burstS * LARGE_PASSES)) return false
         tokens -= count
         return true
     }
@@ -41,6 +44,10 @@
         return (tokens / (perSecond * burstS)).coerceIn(0.0, 1.0)
     }
 
+    private companion object {
+        const val LARGE_PASSES = 0.5
+    }
+
     private fun refill(now: Moment) {
         tokens = min(perSecond * burstS, tokens + perSecond * now.secondsSince(at).coerceAtLeast(0.0))
         at = now
