--- a/src/main/kotlin/copperglade/app/OperatorProperties.kt
+++ b/src/main/kotlin/copperglade/app/OperatorProperties.kt
@@ -52,7 +52,8 @@
             fittingRate = reader.number("profiles.fitting-rate", usual.fittingRate, 0.0..1.0),
             profileCapacity = reader.whole("profiles.capacity", usual.profileCapacity, 1..100_000),
             headroom = reader.number("fleet.headroom", usual.headroom, 1.0..10.0),
-            idleBeforeReturn = reader.seconds("fleet.idle.s", usual.idleBeforeReturn, 0.0..86_400.0),
+            idleReplacements = reader.number("fleet.idle.replacements", usual.idleReplacements, 0.0..100.0),
+            fadeReplacements = reader.number("fleet.fade.replacements", usual.fadeReplacements, 0.1..100.0),
         )
     }
 
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -168,12 +168,22 @@
     /** Demand comes in bursts; the level follows it up at once and down slowly. */
     private fun updateLevels(now: Moment) {
         val demand = DemandEstimate.of(replica.jobs.values, teams)
-        val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / FADE_S)
+        val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / (replacementS() * tuning.fadeReplacements))
         ordinaryLevel = max(demand.ordinary, ordinaryLevel * fade)
         flexibleLevel = max(demand.flexible, flexibleLevel * fade)
         levelAt = now
     }
 
+    /**
+     * How long it takes until a machine just rented does the work of one just returned: its boot, and the fetch of an
+     * image. What is dear to replace is kept for longer.
+     */
+    private fun replacementS(): Double {
+        val specs = replica.jobs.values.mapNotNull { it.spec }
+        val imageGb = if (specs.isEmpty()) 0.0 else specs.sumOf { it.image.gb } / specs.size
+        return types.all.maxOfOrNull { it.bootS + imageGb / max(it.fetchGbPerS, SLOWEST_FETCH) }?.coerceAtLeast(1.0) ?: 1.0
+    }
+
     private fun isDead(machine: ListedMachine, now: Moment): Boolean {
         val bootS = types[machine.type]?.bootS ?: 0.0
         return when (machine.status) {
@@ -306,7 +316,7 @@
         val chosen = ArrayList<MachineName>()
         chosen += unusable(rooms)
         val candidates = rooms.values
-            .filter { it.usable && it.idleMs >= tuning.idleBeforeReturn.inWholeMilliseconds }
+            .filter { it.usable && it.idleMs >= replacementS() * tuning.idleReplacements * MS }
             .sortedWith(compareBy({ it.spot }, { it.name.text }))
         for (room in candidates) {
             val cpus = types[room.type]?.capacity?.cpus ?: continue
@@ -325,7 +335,8 @@
     private companion object {
         const val OK = 200
         const val TOO_MANY = 429
-        const val FADE_S = 45.0
+        const val SLOWEST_FETCH = 1e-3
+        const val MS = 1000
         const val LONGEST_BOOTS = 3.0
         const val BOOT_SLACK_S = 20.0
         const val UNHEARD_S = 40.0
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -16,6 +16,7 @@
     val fittingSteps: Int = 4,
     val fittingRate: Double = 0.02,
     val profileCapacity: Int = 400,
-    val headroom: Double = 1.2,
-    val idleBeforeReturn: Duration = 18.seconds,
+    val headroom: Double = 1.15,
+    val idleReplacements: Double = 0.6,
+    val fadeReplacements: Double = 2.0,
 )
