--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -1,5 +1,6 @@
 package copperglade.coordination
 
+import copperglade.bookkeeping.ProfileBook
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
@@ -51,6 +52,7 @@
     private val leadership: Leadership,
     private val roomBook: RoomBook,
     private val types: TypeBook,
+    private val profiles: ProfileBook,
     private val teams: Map<TeamName, Team>,
     /** By load, the multiples of a deadline that the objectives count. */
     private val deadlineTimes: Map<String, List<Double>>,
@@ -61,7 +63,7 @@
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
         val acceptedAtMs = job.live!!.value.acceptedAtMs
-        val left get() = spec.tasks - job.done.cardinality()
+        val waiting get() = spec.tasks - job.done.cardinality() - standing.size
     }
 
     fun round() {
@@ -76,7 +78,7 @@
         // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
         // queue of decisions about lesser work would hold up the urgent ones behind it.
         var affordable = store.affordableAssignments()
-        for (candidate in order(waiting, rooms)) {
+        for (candidate in order(candidates, waiting, rooms)) {
             val reserve = if (candidate.spec.priority <= Priority.HIGH) Int.MIN_VALUE else KEPT_FOR_URGENT
             if (affordable <= reserve) continue
             val use = uses[candidate.spec.team] ?: continue
@@ -84,10 +86,14 @@
         }
     }
 
-    private fun order(waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
-        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
+    private fun order(all: List<Candidate>, waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
+        val freeCpus = rooms.sumOf { it.machine.free.cpus }
+        val poolCpus = (freeCpus + rooms.sumOf { room -> room.machine.yielding.sumOf { it.cpus } }).coerceAtLeast(1.0)
+        // What runs now is half done on average, and as long as there is free room nobody waits for it.
+        val running = all.filter { it.spec.kind == JobKind.ARRAY }.sumOf { it.standing.size * it.spec.request.cpus * runS(it) }
+        val begunS = running / 2 / poolCpus * (1 - freeCpus / poolCpus).coerceIn(0.0, 1.0)
         val (dated, undated) = waiting.partition { it.spec.deadlineS != null }
-        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus)
+        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus, begunS)
         val rank = HashMap<JobId, Int>()
         planned.forEachIndexed { index, candidate -> rank[candidate.job.id] = index }
         return (undated + planned).sortedWith(
@@ -102,9 +108,14 @@
         val spec = candidate.spec
         val waitedS = (loop.wallMillis() - candidate.acceptedAtMs) / 1000.0
         val deadlineS = spec.deadlineS ?: 0.0
-        // Even with all room of the world, the last task still needs its own run time.
-        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS }
-        return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due)
+        // The last task needs its own run time after its start, so that is when all must have been started.
+        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS - runS(candidate) }.filter { it > 0.0 }
+        return PlannedJob(candidate, candidate.waiting * spec.request.cpus * runS(candidate), due)
+    }
+
+    private fun runS(candidate: Candidate): Double {
+        val spec = candidate.spec
+        return profiles.expectedRunS(spec.id, spec.load, spec.estimateS)
     }
 
     private fun gather(uses: Map<TeamName, TeamUse>): List<Candidate> {
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -288,7 +288,7 @@
         run.straggledS?.let {
             log.info("straggler {} done on {}: ran {} s here, {} s before", run.task, machine.name, seconds, it)
         }
-        context.profiles.record(Profile(machine.name, factors(run, machine), seconds))
+        context.profiles.record(Profile(machine.name, factors(run, machine), seconds, run.spec.estimateS))
     }
 
     private fun factors(run: Run, machine: Machine) =
