--- a/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
+++ b/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
@@ -43,7 +43,7 @@
 }
 
 /** A finished task. */
-class Profile(val machine: MachineName, val factors: Factors, val runS: Double, val estimateS: Double = 0.0)
+class Profile(val machine: MachineName, val factors: Factors, val runS: Double)
 
 /** A predicted run time: always a range, the sorted run times of similar past tasks. */
 class Prediction(val timesS: List<Double>) {
@@ -100,7 +100,6 @@
 ) {
     private val profiles = ArrayDeque<Profile>()
     private val weights = HashMap<MachineName, Weights>()
-    private val expected = HashMap<JobId, Double>()
     private var speeds: Map<MachineName, Double>? = null
 
     val size: Int get() = profiles.size
@@ -117,7 +116,6 @@
         profiles.addLast(profile)
         if (profiles.size > capacity) profiles.removeFirst()
         speeds = null
-        expected.clear()
     }
 
     /**
@@ -174,21 +172,13 @@
         return if (base.size < FEWEST) null else base.sumOf { it.runS } / base.size
     }
 
-    /**
-     * What a task of the job may be expected to take: as its finished mates did, else its owner's estimate, corrected by
-     * how far the estimates for its load have been off lately.
-     */
-    fun expectedRunS(job: JobId, load: String, estimateS: Double): Double = expected.getOrPut(job) {
-        val own = profiles.filter { it.factors.job == job }
-        if (own.size >= FEWEST) return@getOrPut own.sumOf { it.runS } / own.size
-        val ratios = profiles.filter { it.factors.load == load && it.estimateS > 0.0 }.map { it.runS / it.estimateS }.sorted()
-        if (ratios.size < ENOUGH_FOR_RATIO) estimateS else estimateS * ratios[ratios.size / 2]
+    fun forgetMachine(machine: MachineName) {
+        weights.remove(machine)
     }
 
     private companion object {
         const val FEWEST = 3
         const val ENOUGH_FOR_SPEED = 8
-        const val ENOUGH_FOR_RATIO = 30
         const val SHORTEST_S = 0.1
         val UNFITTED = Weights(0.0)
     }
--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -1,6 +1,5 @@
 package copperglade.coordination
 
-import copperglade.bookkeeping.ProfileBook
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
@@ -52,7 +51,6 @@
     private val leadership: Leadership,
     private val roomBook: RoomBook,
     private val types: TypeBook,
-    private val profiles: ProfileBook,
     private val teams: Map<TeamName, Team>,
     /** By load, the multiples of a deadline that the objectives count. */
     private val deadlineTimes: Map<String, List<Double>>,
@@ -63,7 +61,7 @@
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
         val acceptedAtMs = job.live!!.value.acceptedAtMs
-        val waiting get() = spec.tasks - job.done.cardinality() - standing.size
+        val left get() = spec.tasks - job.done.cardinality()
     }
 
     fun round() {
@@ -78,7 +76,7 @@
         // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
         // queue of decisions about lesser work would hold up the urgent ones behind it.
         var affordable = store.affordableAssignments()
-        for (candidate in order(candidates, waiting, rooms)) {
+        for (candidate in order(waiting, rooms)) {
             val reserve = if (candidate.spec.priority <= Priority.HIGH) Int.MIN_VALUE else KEPT_FOR_URGENT
             if (affordable <= reserve) continue
             val use = uses[candidate.spec.team] ?: continue
@@ -86,14 +84,10 @@
         }
     }
 
-    private fun order(all: List<Candidate>, waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
-        val freeCpus = rooms.sumOf { it.machine.free.cpus }
-        val poolCpus = (freeCpus + rooms.sumOf { room -> room.machine.yielding.sumOf { it.cpus } }).coerceAtLeast(1.0)
-        // What runs now is half done on average, and as long as there is free room nobody waits for it.
-        val running = all.filter { it.spec.kind == JobKind.ARRAY }.sumOf { it.standing.size * it.spec.request.cpus * runS(it) }
-        val begunS = running / 2 / poolCpus * (1 - freeCpus / poolCpus).coerceIn(0.0, 1.0)
+    private fun order(waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
+        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
         val (dated, undated) = waiting.partition { it.spec.deadlineS != null }
-        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus, begunS)
+        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus)
         val rank = HashMap<JobId, Int>()
         planned.forEachIndexed { index, candidate -> rank[candidate.job.id] = index }
         return (undated + planned).sortedWith(
@@ -108,14 +102,9 @@
         val spec = candidate.spec
         val waitedS = (loop.wallMillis() - candidate.acceptedAtMs) / 1000.0
         val deadlineS = spec.deadlineS ?: 0.0
-        // The last task needs its own run time after its start, so that is when all must have been started.
-        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS - runS(candidate) }.filter { it > 0.0 }
-        return PlannedJob(candidate, candidate.waiting * spec.request.cpus * runS(candidate), due)
-    }
-
-    private fun runS(candidate: Candidate): Double {
-        val spec = candidate.spec
-        return profiles.expectedRunS(spec.id, spec.load, spec.estimateS)
+        // Even with all room of the world, the last task still needs its own run time.
+        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS }
+        return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due)
     }
 
     private fun gather(uses: Map<TeamName, TeamUse>): List<Candidate> {
@@ -140,8 +129,7 @@
         return candidates
     }
 
-    /** A task's block, and the machine that was counted on, unless the task is to wait there for its turn. */
-    private class Choice(val task: Int, val block: BlockName, val room: RoomBook.Room?)
+    private class Choice(val task: Int, val room: RoomBook.Room)
 
     /** Returns how many writes it took. */
     private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>): Int {
@@ -155,15 +143,14 @@
             val after = use.used + spec.request
             if (!use.team.allows(after.cpus, after.gpus)) break
             val room = choose(spec, zones, rooms)
-            if (room != null) take(room, spec)
-            val block = room?.block ?: chooseAhead(spec, zones, rooms)
-            if (block == null) {
+            if (room == null) {
                 keepRoom(spec, zones, rooms)
                 break
             }
-            zones.add(zoneOf(block))
+            take(room, spec)
+            zones.add(room.machine.zone)
             use.used = after
-            choices += Choice(task, block, room)
+            choices += Choice(task, room)
             task = taken.nextClearBit(task + 1)
         }
         val pages = choices.groupBy { it.task / Keys.PAGE_TASKS }.entries.take(MOST_PAGES)
@@ -191,7 +178,8 @@
 
     /** Lets the machine that comes closest to holding the task gather room for it. */
     private fun keepRoom(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>) {
-        rooms.filter { !it.kept && spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
+        rooms
+            .filter { !it.kept && spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
             .maxByOrNull { it.free.cpus }
             ?.kept = true
     }
@@ -211,20 +199,6 @@
         return best
     }
 
-    /** A block whose machines are full, but where the task would soon have its turn. */
-    private fun chooseAhead(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): BlockName? {
-        if (spec.kind != JobKind.ARRAY) return null
-        val chosen = rooms
-            .asSequence()
-            .filter { spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
-            .filter { spec.image.name in it.machine.images }
-            .mapNotNull { roomBook.ahead[it.block] }
-            .maxByOrNull { it.cpus }
-        if (chosen == null || chosen.cpus < spec.request.cpus) return null
-        chosen.cpus -= spec.request.cpus
-        return chosen.block
-    }
-
     /** What a task would cost there, or null where it doesn't fit even if lower work is stopped. */
     private fun cost(spec: JobSpec, room: RoomBook.Room): Double? {
         val preempts = !spec.request.fitsIn(room.free)
@@ -255,7 +229,7 @@
         conditions += leadership.condition
         conditions += Condition(Keys.live(job.id), job.liveStamp())
         conditions += Condition(Keys.page(job.id, page), present?.stamp ?: Stamp.ABSENT)
-        for ((block, chosen) in choices.groupBy { it.block }) {
+        for ((block, chosen) in choices.groupBy { it.room.block }) {
             val record = replica.blocks[block] ?: return
             conditions += Condition(Keys.block(block), record.stamp)
             val tasks = BitSet()
@@ -272,13 +246,7 @@
                 is TransactionOutcome.Applied -> {
                     log.debug("{} tasks of {} assigned", choices.size, job.id)
                     val request = job.spec?.request ?: Resources.ZERO
-                    for (choice in choices) {
-                        if (choice.room != null) {
-                            roomBook.gave(choice.room, outcome.stamp, request)
-                        } else {
-                            roomBook.gaveAhead(choice.block, outcome.stamp, request.cpus)
-                        }
-                    }
+                    choices.forEach { roomBook.gave(it.room, outcome.stamp, request) }
                     replica.applied(transaction, outcome.stamp)
                     inFlight -= job.id
                 }
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -288,7 +288,7 @@
         run.straggledS?.let {
             log.info("straggler {} done on {}: ran {} s here, {} s before", run.task, machine.name, seconds, it)
         }
-        context.profiles.record(Profile(machine.name, factors(run, machine), seconds, run.spec.estimateS))
+        context.profiles.record(Profile(machine.name, factors(run, machine), seconds))
     }
 
     private fun factors(run: Run, machine: Machine) =
@@ -523,13 +523,10 @@
             if (hopeless.add(run.task.job)) {
                 rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
             }
-            if (now >= run.since + patience(run)) finish(run, RunState.GONE, "no room")
+            if (now >= run.since + PATIENCE) finish(run, RunState.GONE, "no room")
         }
     }
 
-    /** Arrays are assigned a little ahead of the room there is; a replica that finds none should go elsewhere soon. */
-    private fun patience(run: Run) = if (run.spec.kind == JobKind.ARRAY) ARRAY_PATIENCE else PATIENCE
-
     private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
 
     fun usable(machine: Machine, now: Moment): Boolean = fenced(machine) && !machine.draining && !machine.deleting &&
@@ -628,7 +625,7 @@
                 machine.cachedImages,
             )
         }
-        return BlockRoom(name, baton, waiting.sumOf { it.cpus }, rooms)
+        return BlockRoom(name, baton, rooms)
     }
 
     companion object {
@@ -649,7 +646,6 @@
         private const val IMAGES_REMEMBERED = 12
         private const val BYTES_AROUND = 6
         private val PATIENCE = 2.seconds
-        private val ARRAY_PATIENCE = 8.seconds
         private val SUSPECT = 10.seconds
         private val ORDER_OF_COMMANDS = listOf(Command.Reap::class, Command.Halt::class, Command.Start::class)
         private val log = LoggerFactory.getLogger("owner")
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -68,7 +68,7 @@
     private val notes = Notes(loop, http, settings.peers, ::composeNote, ::heardNote)
     private val roomBook = RoomBook(replica, blockMap)
     private val assigner =
-        Assigner(loop, store, replica, leadership, roomBook, types, profiles, settings.teams, settings.deadlineTimes, ::noteOf)
+        Assigner(loop, store, replica, leadership, roomBook, types, settings.teams, settings.deadlineTimes, ::noteOf)
     private val closer = Closer(store, replica, leadership, settings.transactionWrites)
     private val fleet = Fleet(
         loop,
--- a/src/main/kotlin/copperglade/coordination/DeadlinePlan.kt
+++ b/src/main/kotlin/copperglade/coordination/DeadlinePlan.kt
@@ -12,10 +12,10 @@
  * deadline, behind what is in time; what can't make any goes last, least work first.
  */
 object DeadlinePlan {
-    fun <T> order(jobs: List<PlannedJob<T>>, poolCpus: Double, freeInS: Double = 0.0): List<T> {
+    fun <T> order(jobs: List<PlannedJob<T>>, poolCpus: Double): List<T> {
         val ordered = ArrayList<T>(jobs.size)
         var left = jobs
-        var begunS = freeInS
+        var begunS = 0.0
         for (pass in 0 until (jobs.maxOfOrNull { it.dueInS.size } ?: 0)) {
             val (due, undue) = left.partition { pass < it.dueInS.size }
             val inTime = inTime(due, pass, begunS, poolCpus)
--- a/src/main/kotlin/copperglade/coordination/Notes.kt
+++ b/src/main/kotlin/copperglade/coordination/Notes.kt
@@ -68,30 +68,17 @@
         var kept = false
     }
 
-    /** What may be assigned to a block beyond its room, so that no machine idles until the lead hears of its room. */
-    class Ahead(val block: BlockName, var cpus: Double)
-
-    private class GivenAhead(val block: BlockName, val stamp: Stamp, val cpus: Double)
-
     private val given = ArrayList<Given>()
-    private val givenAhead = ArrayList<GivenAhead>()
-    var ahead: Map<BlockName, Ahead> = emptyMap()
-        private set
 
     /** The rooms of all blocks whose owners have been heard lately. */
     fun rooms(noteOf: (MemberId) -> PeerNote?): List<Room> {
         val rooms = ArrayList<Room>()
-        val ahead = HashMap<BlockName, Ahead>()
         for (block in blockMap.all) {
             val record = replica.blocks[block] ?: continue
             val note = noteOf(record.value.member)?.takeIf { it.incarnation == record.value.incarnation } ?: continue
             val room =
                 note.blocks.firstOrNull { it.block == block && it.baton.number == record.stamp.number } ?: continue
             given.removeIf { it.block == block && it.stamp <= note.cursor }
-            givenAhead.removeIf { it.block == block && it.stamp <= note.cursor }
-            val running = room.machines.filter { it.usable }.sumOf { machine -> machine.yielding.sumOf { it.cpus } }
-            val promised = room.queuedCpus + givenAhead.filter { it.block == block }.sumOf { it.cpus }
-            ahead[block] = Ahead(block, running * AHEAD_SHARE - promised)
             for (machine in room.machines) {
                 val free = given
                     .filter { it.block == block && it.machine == machine.name }
@@ -99,18 +86,9 @@
                 rooms += Room(block, machine, free, machine.yielding.toTypedArray())
             }
         }
-        this.ahead = ahead
         return rooms
     }
 
-    fun gaveAhead(block: BlockName, stamp: Stamp, cpus: Double) {
-        givenAhead += GivenAhead(block, stamp, cpus)
-    }
-
-    private companion object {
-        const val AHEAD_SHARE = 0.1
-    }
-
     fun gave(room: Room, stamp: Stamp, request: Resources) {
         given += Given(room.block, room.machine.name, stamp, request)
     }
--- a/src/main/kotlin/copperglade/protocol/PeerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerWire.kt
@@ -18,8 +18,7 @@
     val images: List<ImageName>,
 )
 
-/** @property queuedCpus what waits in the block beyond the room there is. */
-class BlockRoom(val block: BlockName, val baton: Baton, val queuedCpus: Double, val machines: List<MachineRoom>)
+class BlockRoom(val block: BlockName, val baton: Baton, val machines: List<MachineRoom>)
 
 /**
  * What a controller tells the others several times a second. Only hints: whoever acts on one checks it against the
@@ -59,7 +58,6 @@
         out.items(note.blocks) { block ->
             text(block.block.text)
             writeLong(block.baton.number)
-            writeLong(block.queuedCpus.toRawBits())
             items(block.machines) { machine(it) }
         }
         out.items(note.release) { text(it.text) }
@@ -80,7 +78,7 @@
                 stateSilentMs = source.readLong(),
                 leads = source.flag(),
                 blocks = source.items {
-                    BlockRoom(BlockName(text()), Baton(readLong()), Double.fromBits(readLong()), items { machine() })
+                    BlockRoom(BlockName(text()), Baton(readLong()), items { machine() })
                 },
                 release = source.items { BlockName(text()) },
                 retire = source.items { MachineName(text()) },
--- a/src/test/kotlin/copperglade/protocol/WireTest.kt
+++ b/src/test/kotlin/copperglade/protocol/WireTest.kt
@@ -81,7 +81,7 @@
             Stamp(9),
             12,
             leads = true,
-            listOf(BlockRoom(BlockName("z.0"), Baton(4), 2.5, listOf(room))),
+            listOf(BlockRoom(BlockName("z.0"), Baton(4), listOf(room))),
             listOf(BlockName("z.1")),
             listOf(MachineName("i-2")),
         )
