--- a/src/main/kotlin/copperglade/app/OperatorProperties.kt
+++ b/src/main/kotlin/copperglade/app/OperatorProperties.kt
@@ -21,8 +21,11 @@
         "profiles.fitting-steps",
         "profiles.fitting-rate",
         "profiles.capacity",
+        "turn.after.s",
+        "turn.share",
         "fleet.headroom",
-        "fleet.idle.s",
+        "fleet.idle.replacements",
+        "fleet.fade.replacements",
     )
 
     fun read(path: Path): Tuning {
@@ -51,6 +54,8 @@
             fittingSteps = reader.whole("profiles.fitting-steps", usual.fittingSteps, 0..100),
             fittingRate = reader.number("profiles.fitting-rate", usual.fittingRate, 0.0..1.0),
             profileCapacity = reader.whole("profiles.capacity", usual.profileCapacity, 1..100_000),
+            turnAfterS = reader.number("turn.after.s", usual.turnAfterS, 1.0..3600.0),
+            turnShare = reader.number("turn.share", usual.turnShare, 0.0..1.0),
             headroom = reader.number("fleet.headroom", usual.headroom, 1.0..10.0),
             idleReplacements = reader.number("fleet.idle.replacements", usual.idleReplacements, 0.0..100.0),
             fadeReplacements = reader.number("fleet.fade.replacements", usual.fadeReplacements, 0.1..100.0),
--- a/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
+++ b/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
@@ -100,7 +100,21 @@
 ) {
     private val profiles = ArrayDeque<Profile>()
     private val weights = HashMap<MachineName, Weights>()
-    private var speeds: Map<MachineName, Double>? = null
+    private val ofJob = HashMap<JobId, Tally>()
+    private val ofLoad = HashMap<String, Tally>()
+    private var speeds: Map<MachineName, Double> = emptyMap()
+    private var sinceMeasured = 0
+
+    /** Run times summed up as they come and go: averages are asked for far more often than tasks finish. */
+    private class Tally {
+        var count = 0
+        var sumS = 0.0
+
+        fun add(runS: Double, sign: Int) {
+            count += sign
+            sumS += sign * runS
+        }
+    }
 
     val size: Int get() = profiles.size
 
@@ -114,36 +128,58 @@
             }.take(steps)
             .forEach { fitted.step(profile, it) }
         profiles.addLast(profile)
-        if (profiles.size > capacity) profiles.removeFirst()
-        speeds = null
+        count(profile, 1)
+        if (profiles.size > capacity) count(profiles.removeFirst(), -1)
+        sinceMeasured++
+    }
+
+    private fun count(profile: Profile, sign: Int) {
+        ofLoad.getOrPut(profile.factors.load) { Tally() }.add(profile.runS, sign)
+        val job = ofJob.getOrPut(profile.factors.job) { Tally() }
+        job.add(profile.runS, sign)
+        if (job.count == 0) ofJob.remove(profile.factors.job)
     }
 
+    /** A past task, and how long it would have taken on an average machine. */
+    class Past(val profile: Profile, val averageMachineS: Double)
+
     /**
-     * The run times of the nearest past tasks of the same load, for a task that would run on [machine].
-     *
-     * @param doneS what the task is known to have needed already, in seconds of an average machine. Past tasks that
-     * took less are not like it: without this, a task that is merely long looks as if it could be over sooner by
-     * starting again, and on the bench 240 of 241 restarts ran longer than what they had thrown away.
+     * The past tasks of [load] that a task is like of which [doneS] seconds of an average machine are known to be done.
+     * Past tasks that took less are not like it: without this, a task that is merely long looks as if it could be over
+     * sooner by starting again, and on the bench 240 of 241 restarts ran longer than what they had thrown away.
      */
-    fun predict(machine: MachineName, factors: Factors, doneS: Double = 0.0): Prediction? {
+    fun similar(load: String, doneS: Double = 0.0): List<Past> = profiles.mapNotNull { profile ->
+        if (profile.factors.load != load) return@mapNotNull null
+        val past = Past(profile, profile.runS * speedOf(profile.machine))
+        past.takeIf { it.averageMachineS > doneS }
+    }
+
+    /** The run times of the nearest of [past], for a task that would run on [machine]. */
+    fun predict(machine: MachineName, factors: Factors, past: List<Past>): Prediction? {
         val fitted = weights[machine] ?: UNFITTED
-        val times = profiles
-            .asSequence()
-            .filter { it.factors.load == factors.load }
-            .map { Near(fitted.distance(it.factors, factors), it.runS * speedOf(it.machine)) }
-            .filter { it.averageMachineS > doneS }
+        val times = past
+            .map { Near(fitted.distance(it.profile.factors, factors), it.averageMachineS) }
             .sortedBy { it.distance }
             .take(nearest)
             .map { it.averageMachineS / speedOf(machine) }
             .sorted()
-            .toList()
         return if (times.size < FEWEST) null else Prediction(times)
     }
 
+    fun predict(machine: MachineName, factors: Factors, doneS: Double = 0.0): Prediction? =
+        predict(machine, factors, similar(factors.load, doneS))
+
     private class Near(val distance: Double, val averageMachineS: Double)
 
     /** How fast a machine has proved to be, 1 for the average: the paper assumes that machines keep their speed. */
-    fun speedOf(machine: MachineName): Double = (speeds ?: measureSpeeds().also { speeds = it })[machine] ?: 1.0
+    fun speedOf(machine: MachineName): Double {
+        // They hardly change with one task more.
+        if (sinceMeasured >= MEASURED_EVERY) {
+            sinceMeasured = 0
+            speeds = measureSpeeds()
+        }
+        return speeds[machine] ?: 1.0
+    }
 
     /** The median over a machine's tasks of how long their jobs' tasks took on average against how long they took. */
     private fun measureSpeeds(): Map<MachineName, Double> {
@@ -167,9 +203,8 @@
 
     /** The average run time of the job's finished tasks, or of its load's where too few have finished. */
     fun averageRunS(job: JobId, load: String): Double? {
-        val own = profiles.filter { it.factors.job == job }
-        val base = if (own.size >= FEWEST) own else profiles.filter { it.factors.load == load }
-        return if (base.size < FEWEST) null else base.sumOf { it.runS } / base.size
+        val base = ofJob[job]?.takeIf { it.count >= FEWEST } ?: ofLoad[load]?.takeIf { it.count >= FEWEST }
+        return base?.let { it.sumS / it.count }
     }
 
     fun forgetMachine(machine: MachineName) {
@@ -178,6 +213,7 @@
 
     private companion object {
         const val FEWEST = 3
+        const val MEASURED_EVERY = 10
         const val ENOUGH_FOR_SPEED = 8
         const val SHORTEST_S = 0.1
         val UNFITTED = Weights(0.0)
--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -3,9 +3,9 @@
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
-import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.MemberId
+import copperglade.protocol.Moment
 import copperglade.protocol.PeerNote
 import copperglade.protocol.Priority
 import copperglade.protocol.Resources
@@ -17,15 +17,17 @@
 import copperglade.storage.AssignmentPage
 import copperglade.storage.Condition
 import copperglade.storage.Job
+import copperglade.storage.JobPage
 import copperglade.storage.Keys
 import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
+import copperglade.storage.SheetPacker
+import copperglade.storage.SheetWrite
 import copperglade.storage.StateClient
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
 import copperglade.storage.Urgency
 import copperglade.storage.WorkPlace
-import copperglade.storage.Write
 import copperglade.transport.EventLoop
 import org.slf4j.LoggerFactory
 import java.util.BitSet
@@ -54,40 +56,88 @@
     private val teams: Map<TeamName, Team>,
     /** By load, the multiples of a deadline that the objectives count. */
     private val deadlineTimes: Map<String, List<Double>>,
+    private val turns: Turns,
     private val noteOf: (MemberId) -> PeerNote?,
 ) {
-    private val inFlight = HashSet<JobId>()
+    private val packer = SheetPacker(
+        replica,
+        store.limits,
+        Keys.SHEETS,
+        { job, page -> job.pages[page] },
+        { job, page -> job.pages[page]?.let { RecordCodec.encode(it.value) } },
+    )
+
+    /** Tasks whose assignment is on its way or of unknown outcome: they count as assigned. */
+    private val pending = HashMap<JobId, Int>()
+
+    /** The spell of leading that [pending] belongs to. */
+    private var term = Stamp.ABSENT
+    private var unhurriedFrom = Moment.NEVER
 
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
         val acceptedAtMs = job.live!!.value.acceptedAtMs
         val left get() = spec.tasks - job.done.cardinality()
+        val urgent get() = spec.priority <= Priority.HIGH
+    }
+
+    private class Choice(val task: Int, val room: RoomBook.Room)
+
+    /** What a round has chosen, by the pages to be written. */
+    private class Decisions {
+        val choices = LinkedHashMap<JobPage, List<Choice>>()
     }
 
     fun round() {
+        if (term != leadership.stamp) beginTerm()
+        val now = loop.now()
+        val unhurried = now >= unhurriedFrom
         val uses = teams.mapValues { TeamUse(it.value) }
-        val candidates = gather(uses)
-        val waiting = candidates
-            .filter { it.job.id !in inFlight && !it.job.cancelled && !it.job.complete }
-            .filter { it.standing.size + it.job.done.cardinality() < it.spec.tasks }
+        val waiting = gather(uses).filter { waits(it) && (unhurried || it.urgent) }
         if (waiting.isEmpty()) return
-        val rooms = roomBook.rooms(noteOf).filter { it.machine.usable }
+        // The scarcer the budget, the longer what can wait is gathered, and the more is decided at a time.
+        if (unhurried) unhurriedFrom = now + SHORTEST_GATHERING + LONGEST_GATHERING * (1.0 - store.writeLevel())
+        val rooms = roomBook.rooms(noteOf).filterTo(ArrayList()) { it.machine.usable }
         if (rooms.isEmpty()) return
-        // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
-        // queue of decisions about lesser work would hold up the urgent ones behind it.
-        var affordable = store.affordableAssignments()
-        for (candidate in order(waiting, rooms)) {
-            val reserve = if (candidate.spec.priority <= Priority.HIGH) Int.MIN_VALUE else KEPT_FOR_URGENT
-            if (affordable <= reserve) continue
+        val decisions = Decisions()
+        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
+        val (urgent, others) = order(waiting, poolCpus).partition { it.urgent }
+        val inTurn = turns.of(others.map(::longWaiting), poolCpus)
+        val first = inTurn.mapTo(HashSet()) { it.first }
+        val inOrder = urgent.map { it to MOST_TASKS } + inTurn + others.filter { it !in first }.map { it to MOST_TASKS }
+        for ((candidate, most) in inOrder) {
             val use = uses[candidate.spec.team] ?: continue
-            affordable -= assign(candidate, use, rooms)
+            assign(candidate, use, rooms, decisions, most)
         }
+        write(decisions)
     }
 
-    private fun order(waiting: List<Candidate>, rooms: List<RoomBook.Room>): List<Candidate> {
-        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
+    private fun longWaiting(candidate: Candidate): LongWaiting<Candidate> {
+        val cpus = candidate.spec.request.cpus
+            .coerceAtLeast(SMALLEST_CPUS)
+        val begun = candidate.standing.isNotEmpty() || !candidate.job.done.isEmpty
+        val mayBeInTime = plannedJob(candidate).dueInS.isNotEmpty()
+        return LongWaiting(candidate, candidate.waitedS, cpus, candidate.standing.size * cpus, begun, mayBeInTime)
+    }
+
+    private val Candidate.waitedS get() = (loop.wallMillis() - acceptedAtMs) / MS
+
+    private fun beginTerm() {
+        term = leadership.stamp
+        pending.clear()
+        packer.endAll()
+    }
+
+    private fun waits(candidate: Candidate): Boolean {
+        val job = candidate.job
+        return job.id !in pending && !job.cancelled && !job.complete &&
+            candidate.standing.size + job.done.cardinality() < candidate.spec.tasks
+    }
+
+    private fun order(waiting: List<Candidate>, poolCpus: Double): List<Candidate> {
         val (dated, undated) = waiting.partition { it.spec.deadlineS != null }
-        val planned = DeadlinePlan.order(dated.map { plannedJob(it) }, poolCpus)
+        val teamCpus = { team: TeamName -> teams[team]?.cpusMax?.takeIf { it > 0.0 } ?: poolCpus }
+        val planned = DeadlinePlan(poolCpus, teamCpus).order(dated.map { plannedJob(it) })
         val rank = HashMap<JobId, Int>()
         planned.forEachIndexed { index, candidate -> rank[candidate.job.id] = index }
         return (undated + planned).sortedWith(
@@ -100,11 +150,11 @@
 
     private fun plannedJob(candidate: Candidate): PlannedJob<Candidate> {
         val spec = candidate.spec
-        val waitedS = (loop.wallMillis() - candidate.acceptedAtMs) / 1000.0
+        val waitedS = candidate.waitedS
         val deadlineS = spec.deadlineS ?: 0.0
         // Even with all room of the world, the last task still needs its own run time.
         val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS }
-        return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due)
+        return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due, waitedS, spec.team)
     }
 
     private fun gather(uses: Map<TeamName, TeamUse>): List<Candidate> {
@@ -114,11 +164,9 @@
             .sortedBy { it.live!!.value.acceptedAtMs }
         for (job in inOrder) {
             val spec = job.spec ?: continue
-            val standing = job.assignments().toList()
+            val standing = job.assignments()
             val use = uses[spec.team] ?: continue
-            use.used += spec.request * standing.size
-            // Writes under way may have been applied already.
-            if (job.id in inFlight) use.used += spec.request * (spec.tasks - standing.size - job.done.cardinality())
+            use.used += spec.request * (standing.size + (pending[job.id] ?: 0))
             var guaranteed = false
             if (!job.complete && !job.cancelled) {
                 use.claimed += spec.request * (spec.tasks - job.done.cardinality())
@@ -129,33 +177,35 @@
         return candidates
     }
 
-    private class Choice(val task: Int, val room: RoomBook.Room)
-
-    /** Returns how many writes it took. */
-    private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>): Int {
+    private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>, decisions: Decisions, most: Int) {
         val spec = candidate.spec
         val taken = candidate.job.done.clone() as BitSet
         candidate.standing.forEach { taken.set(it.task) }
         val zones = ZoneCount(spec, candidate.standing.map { zoneOf(it.block) })
+        val places = places(spec, zones, rooms).iterator()
         val choices = ArrayList<Choice>()
+        var place = if (places.hasNext()) places.next() else null
         var task = taken.nextClearBit(0)
-        while (task < spec.tasks && choices.size < MOST_TASKS) {
+        while (task < spec.tasks && choices.size < most) {
             val after = use.used + spec.request
             if (!use.team.allows(after.cpus, after.gpus)) break
-            val room = choose(spec, zones, rooms)
-            if (room == null) {
+            // Nothing makes room in a round: a place that is full, or in a zone that is, stays so.
+            while (place != null && !(place.holds(spec) && zones.allows(place.room.machine.zone))) {
+                place = if (places.hasNext()) places.next() else null
+            }
+            if (place == null) {
                 keepRoom(spec, zones, rooms)
                 break
             }
-            take(room, spec)
-            zones.add(room.machine.zone)
+            place.take(spec)
+            zones.add(place.room.machine.zone)
             use.used = after
-            choices += Choice(task, room)
+            choices += Choice(task, place.room)
             task = taken.nextClearBit(task + 1)
         }
-        val pages = choices.groupBy { it.task / Keys.PAGE_TASKS }.entries.take(MOST_PAGES)
-        pages.forEach { (page, chosen) -> write(candidate.job, page, chosen) }
-        return pages.size
+        for ((page, chosen) in choices.groupBy { it.task / Keys.PAGE_TASKS }) {
+            if (packer.ready(candidate.job, page)) decisions.choices[JobPage(candidate.job.id, page)] = chosen
+        }
     }
 
     /** What `oneZone` and `spread` leave open, given the job's other tasks. */
@@ -174,6 +224,23 @@
             (!spec.oneZone || counts.keys.all { it == zone }) && (counts[zone] ?: 0) < spec.perZoneLimit
     }
 
+    /** A machine with room for tasks of a job, as it is or by stopping lower work, and what a task costs there. */
+    private class Place(val room: RoomBook.Room, val preempts: Boolean, val cost: Double) {
+        fun holds(spec: JobSpec): Boolean = !room.kept &&
+            if (preempts) spec.request.fitsIn(withYielding(room, spec)) else spec.request.fitsIn(room.free)
+
+        fun take(spec: JobSpec) {
+            room.free -= spec.request
+            // Room that was had by stopping lower work is gone from what that work could still yield.
+            var priority = room.yielding.lastIndex
+            while (room.free.cpus < 0.0 && priority > spec.priority.ordinal) {
+                room.free += room.yielding[priority]
+                room.yielding[priority] = Resources.ZERO
+                priority--
+            }
+        }
+    }
+
     private fun zoneOf(block: BlockName) = block.text.substringBeforeLast('.')
 
     /** Lets the machine that comes closest to holding the task gather room for it. */
@@ -184,105 +251,186 @@
             ?.kept = true
     }
 
-    private fun choose(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): RoomBook.Room? {
-        var best: RoomBook.Room? = null
-        var bestCost = Double.MAX_VALUE
+    /** The places for a job's tasks, cheapest first, then fullest: weighed once a job, not once a task. */
+    private fun places(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): List<Place> {
+        val places = ArrayList<Place>()
         for (room in rooms) {
             val machine = room.machine
             if (room.kept || !spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
-            val cost = cost(spec, room) ?: continue
-            if (cost < bestCost || (cost == bestCost && room.free.cpus < best!!.free.cpus)) {
-                best = room
-                bestCost = cost
+            if (spec.request.fitsIn(room.free)) {
+                places += Place(room, preempts = false, cost(spec, room, preempts = false))
+            }
+            if (yields(room, spec) && spec.request.fitsIn(withYielding(room, spec))) {
+                places += Place(room, preempts = true, cost(spec, room, preempts = true))
             }
         }
-        return best
+        return places.sortedWith(compareBy({ it.cost }, { it.room.free.cpus }))
     }
 
-    /** What a task would cost there, or null where it doesn't fit even if lower work is stopped. */
-    private fun cost(spec: JobSpec, room: RoomBook.Room): Double? {
-        val preempts = !spec.request.fitsIn(room.free)
-        if (preempts) {
-            val yielding = room.yielding.drop(spec.priority.ordinal + 1).fold(room.free) { sum, more -> sum + more }
-            if (!spec.request.fitsIn(yielding)) return null
-        }
+    private fun cost(spec: JobSpec, room: RoomBook.Room, preempts: Boolean): Double {
         val machine = room.machine
         return PlacementCost.of(spec, types[machine.type], machine.spot, spec.image.name in machine.images, preempts)
     }
 
-    private fun take(room: RoomBook.Room, spec: JobSpec) {
-        room.free -= spec.request
-        // Room that was had by stopping lower work is gone from what that work could still yield.
-        var priority = room.yielding.lastIndex
-        while (room.free.cpus < 0.0 && priority > spec.priority.ordinal) {
-            room.free += room.yielding[priority]
-            room.yielding[priority] = Resources.ZERO
-            priority--
+    /** The page with the [choices] added, and without the tasks that are done or given back. */
+    private fun pageWith(job: Job, page: Int, choices: List<Choice>): AssignmentPage {
+        val present = job.pages[page]?.value ?: AssignmentPage.EMPTY
+        val groups = standingGroups(job, page, present)
+        val generation = present.lastGeneration + 1
+        var frontier = present.frontier
+        for ((block, chosen) in choices.groupBy { it.room.block }) {
+            val baton = Baton(
+                replica.blocks
+                    .getValue(block)
+                    .stamp.number,
+            )
+            val again = BitSet()
+            val first = BitSet()
+            chosen.forEach { if (it.task < present.frontier) again.set(it.task) else first.set(it.task) }
+            // A task that was never assigned can't have been given back, so it may share a group that stands already:
+            // a group for every round would outgrow the value.
+            val joined = groups.indexOfFirst { it.block == block && it.baton == baton }
+            if (!first.isEmpty && joined >= 0) {
+                val group = groups[joined]
+                val tasks = group.tasks.clone() as BitSet
+                tasks.or(first)
+                groups[joined] = AssignmentGroup(block, baton, group.generation, tasks)
+            } else {
+                again.or(first)
+            }
+            if (!again.isEmpty) groups += AssignmentGroup(block, baton, generation, again)
+            frontier = maxOf(frontier, chosen.maxOf { it.task } + 1)
         }
+        val recalled = present.recalled.clone() as BitSet
+        choices.forEach { recalled.clear(it.task) }
+        return AssignmentPage(groups, recalled, generation, frontier, present.version + 1)
     }
 
-    private fun write(job: Job, page: Int, choices: List<Choice>) {
-        val present = job.pages[page]
-        val generation = (present?.value?.lastGeneration ?: 0) + 1
-        val groups = standingGroups(job, page, present?.value)
+    private fun standingGroups(job: Job, page: Int, present: AssignmentPage): ArrayList<AssignmentGroup> {
+        val groups = ArrayList<AssignmentGroup>()
+        for (group in present.groups) {
+            val tasks = group.tasks.clone() as BitSet
+            tasks.andNot(job.done)
+            job.works[WorkPlace(page, group.block)]
+                ?.value
+                ?.returned
+                ?.get(group.generation)
+                ?.let(tasks::andNot)
+            if (!tasks.isEmpty) groups += AssignmentGroup(group.block, group.baton, group.generation, tasks)
+        }
+        return groups
+    }
+
+    private fun write(decisions: Decisions) {
+        val changes = LinkedHashMap<JobPage, ByteArray>()
+        for ((place, choices) in decisions.choices) {
+            if (choices.any { it.room.block !in replica.blocks }) continue
+            changes[place] = RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, choices))
+        }
+        // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
+        // queue of decisions about lesser work would hold up the urgent ones behind it.
+        var affordable = store.affordableAssignments()
+        for (sheet in packer.pack(changes)) {
+            val urgent = sheet.places.any { replica.jobs[it.job]?.spec?.let { spec -> spec.priority <= Priority.HIGH } ?: false }
+            if (!urgent && affordable <= store.keptForUrgent) continue
+            affordable -= sheet.writes.size
+            commit(sheet, sheet.places.associateWith { decisions.choices.getValue(it) })
+        }
+    }
+
+    private fun commit(sheet: SheetWrite, choices: Map<JobPage, List<Choice>>) {
         val conditions = LinkedHashSet<Condition>()
         conditions += leadership.condition
-        conditions += Condition(Keys.live(job.id), job.liveStamp())
-        conditions += Condition(Keys.page(job.id, page), present?.stamp ?: Stamp.ABSENT)
-        for ((block, chosen) in choices.groupBy { it.room.block }) {
-            val record = replica.blocks[block] ?: return
-            conditions += Condition(Keys.block(block), record.stamp)
-            val tasks = BitSet()
-            chosen.forEach { tasks.set(it.task) }
-            groups += AssignmentGroup(block, Baton(record.stamp.number), generation, tasks)
+        conditions += sheet.conditions
+        for ((place, chosen) in choices) {
+            conditions += Condition(Keys.live(place.job), replica.jobs.getValue(place.job).liveStamp())
+            chosen.mapTo(conditions) { Condition(Keys.block(it.room.block), replica.blocks.getValue(it.room.block).stamp) }
         }
-        val recalled = present?.value?.recalled?.clone() as BitSet? ?: BitSet()
-        choices.forEach { recalled.clear(it.task) }
-        val record = AssignmentPage(groups, recalled, generation)
-        val transaction = Transaction(conditions.toList(), listOf(Write.Set(Keys.page(job.id, page), RecordCodec.encode(record))))
-        inFlight += job.id
+        if (conditions.size > store.limits.transactionConditions) return commitPart(choices)
+        val transaction = Transaction(conditions.toList(), sheet.writes)
+        val counts = HashMap<JobId, Int>()
+        choices.forEach { (place, chosen) -> counts.merge(place.job, chosen.size, Int::plus) }
+        counts.forEach { (job, count) -> pending.merge(job, count, Int::plus) }
+        packer.begin(sheet)
+        val spell = term
         store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
+            if (spell != term) return@commit
             when (outcome) {
                 is TransactionOutcome.Applied -> {
-                    log.debug("{} tasks of {} assigned", choices.size, job.id)
-                    val request = job.spec?.request ?: Resources.ZERO
-                    choices.forEach { roomBook.gave(it.room, outcome.stamp, request) }
+                    log.debug("{} assigned", counts)
+                    for ((place, chosen) in choices) {
+                        val request = replica.jobs[place.job]?.spec?.request ?: Resources.ZERO
+                        chosen.forEach { roomBook.gave(it.room, outcome.stamp, request) }
+                    }
                     replica.applied(transaction, outcome.stamp)
-                    inFlight -= job.id
+                    settled(sheet, counts)
                 }
-                TransactionOutcome.Refused -> loop.after(AFTER_REFUSAL) { inFlight -= job.id }
-                else -> settle(job.id)
+                TransactionOutcome.Refused -> loop.after(AFTER_REFUSAL) { if (spell == term) settled(sheet, counts) }
+                // Somebody cancelled, a block changed hands: surely not applied, but what stood in the way must be known.
+                is TransactionOutcome.Conflict -> replica.fresh { if (spell == term) settled(sheet, counts) }
+                TransactionOutcome.Unknown, TransactionOutcome.NoSuchPermit -> unsettled(sheet, counts, spell)
             }
         }
     }
 
-    /** Until a fresh reading shows what became of the write, its tasks count as assigned. */
-    private fun settle(job: JobId) {
-        replica.fresh { known -> if (known) inFlight -= job else loop.after(AFTER_REFUSAL) { settle(job) } }
+    /** Too many jobs for one transaction: the first half of them now, the others in a later round. */
+    private fun commitPart(choices: Map<JobPage, List<Choice>>) {
+        if (choices.size < 2) return log.warn("assignments of {} need too many conditions", choices.keys)
+        val part = choices.entries.take(choices.size / 2).associate { it.key to it.value }
+        val changes = part.mapValues { (place, chosen) ->
+            RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, chosen))
+        }
+        packer.pack(changes).forEach { sheet -> commit(sheet, sheet.places.associateWith { part.getValue(it) }) }
+    }
+
+    private fun settled(sheet: SheetWrite, counts: Map<JobId, Int>) {
+        packer.end(sheet)
+        counts.forEach { (job, count) -> pending.computeIfPresent(job) { _, sum -> (sum - count).takeIf { it > 0 } } }
     }
 
-    /** The page's groups without the tasks that are done or given back. */
-    private fun standingGroups(job: Job, page: Int, present: AssignmentPage?): ArrayList<AssignmentGroup> {
-        val groups = ArrayList<AssignmentGroup>()
-        for (group in present?.groups.orEmpty()) {
-            val tasks = group.tasks.clone() as BitSet
-            tasks.andNot(job.done)
-            job.works[WorkPlace(page, group.block)]
-                ?.value
-                ?.returned
-                ?.get(group.generation)
-                ?.let(tasks::andNot)
-            if (!tasks.isEmpty) groups += AssignmentGroup(group.block, group.baton, group.generation, tasks)
+    /**
+     * A write of unknown outcome may be applied at any later time, as long as its sheets are what they were. Its tasks
+     * count as assigned until a reading shows that the sheets have changed, by that write or by one of ours: giving
+     * their share to others on the word of a reading alone could put a team over its limit.
+     */
+    private fun unsettled(sheet: SheetWrite, counts: Map<JobId, Int>, spell: Stamp) {
+        val again = { loop.after(AFTER_REFUSAL) { unsettled(sheet, counts, spell) } }
+        replica.fresh { known ->
+            if (spell != term) return@fresh
+            if (!known) return@fresh again()
+            val changed = sheet.conditions.any {
+                replica.sheets[it.key]?.stamp != it.stamp &&
+                    (it.key in replica.sheets || it.stamp != Stamp.ABSENT)
+            }
+            if (changed) return@fresh settled(sheet, counts)
+            val same = packer.same(sheet)
+            val transaction = Transaction(listOf(leadership.condition) + same.conditions, same.writes)
+            store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
+                if (spell != term) return@commit
+                if (outcome is TransactionOutcome.Applied) {
+                    replica.applied(transaction, outcome.stamp)
+                    settled(sheet, counts)
+                } else {
+                    again()
+                }
+            }
         }
-        return groups
     }
 
     private companion object {
         val ONCE = listOf(1.0)
-        const val KEPT_FOR_URGENT = 4
         const val MOST_TASKS = 2000
-        const val MOST_PAGES = 8
+        const val MS = 1000.0
+        const val SMALLEST_CPUS = 0.01
+        val SHORTEST_GATHERING = 150.milliseconds
+        val LONGEST_GATHERING = 1000.milliseconds
         val AFTER_REFUSAL = 200.milliseconds
         val log = LoggerFactory.getLogger("assigner")
+
+        fun yields(room: RoomBook.Room, spec: JobSpec) =
+            (spec.priority.ordinal + 1..room.yielding.lastIndex).any { room.yielding[it].cpus > 0.0 }
+
+        fun withYielding(room: RoomBook.Room, spec: JobSpec): Resources =
+            (spec.priority.ordinal + 1..room.yielding.lastIndex).fold(room.free) { sum, lower -> sum + room.yielding[lower] }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -12,10 +12,8 @@
 import copperglade.protocol.ExitCause
 import copperglade.protocol.JobId
 import copperglade.protocol.JobKind
-import copperglade.protocol.JobSpec
 import copperglade.protocol.MachineName
 import copperglade.protocol.MachineRoom
-import copperglade.protocol.MachineType
 import copperglade.protocol.Moment
 import copperglade.protocol.Priority
 import copperglade.protocol.Report
@@ -27,6 +25,7 @@
 import copperglade.storage.ImageRecord
 import copperglade.storage.Job
 import copperglade.storage.Replica
+import copperglade.storage.StateClient
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
 import copperglade.transport.Method
@@ -56,10 +55,11 @@
  */
 class BlockOwner(
     private val context: OwnerContext,
+    store: StateClient,
     val name: BlockName,
     private val first: Baton,
-    private val outcomes: OutcomeLog,
 ) {
+    private val outcomes = OutcomeLog(context.loop, store, context.replica, this)
     private val loop = context.loop
     private val tenure = hashSetOf(first)
     private val openedAt = loop.now()
@@ -71,6 +71,10 @@
     private val failures = HashMap<JobId, Int>()
     private val stragglers = StragglerWatch(context)
     val machines = HashMap<MachineName, Machine>()
+    private val departures = Departures()
+
+    /** Machines that were dropped and have just been asked whether they live. */
+    private val asked = HashSet<MachineName>()
 
     var baton = first
         private set
@@ -88,6 +92,11 @@
         machines.values.toList().forEach { if (fenced(it)) match(it) }
     }
 
+    /** No longer ours: nothing more is said about it. */
+    fun close() {
+        open = false
+    }
+
     /** The block's key was written anew by ourselves: late copies of older commands die out with the old baton. */
     fun renew(next: Baton) {
         tenure += next
@@ -171,19 +180,40 @@
     private fun finish(run: Run, state: RunState, why: String) {
         run.moveTo(state, why, loop.now())
         if (state == RunState.GONE) run.unbind()
-        outcomes.note(this, run)
+        outcomes.note(run)
     }
 
     // ---- reports ----
 
-    /** Takes a worker's own report and answers it. The caller has checked that we may act. */
-    fun checkin(report: Report): ByteArray {
+    /**
+     * Takes a worker's own report and answers it; null where it must not be answered with 200. The caller has checked
+     * that we may act.
+     */
+    fun checkin(report: Report): ByteArray? {
+        if (departures.covers(report)) {
+            ask(report)
+            return null
+        }
+        val known = machines[report.machine]
+        if (known != null && known.isDoubtful(report)) return answerInDoubt(known)
+        if (known != null && known.isCopy(report)) {
+            // A late copy, or a machine that began anew with low numbers: only its answer to a question of ours tells.
+            fence(known)
+            return null
+        }
         val machine = hear(report)
+        machine.sentBy(report)
+        if (inVain(machine)) {
+            fence(machine)
+            return null
+        }
         machine.answeredAt = loop.now()
         if (!open || !fenced(machine)) {
+            machine.answersInVain++
             fence(machine)
             return WorkerWire.answer(baton, emptyList())
         }
+        machine.answersInVain = 0
         // Where the direct way is broken, the answer to the report is the other one; it is never executed late.
         val commands = if (machine.deaf && !machine.commandInFlight) commandsFor(machine) else emptyList()
         if (commands.isNotEmpty()) {
@@ -193,16 +223,42 @@
         return WorkerWire.answer(baton, commands)
     }
 
-    private fun hear(report: Report): Machine {
-        val machine = machines.getOrPut(report.machine) {
-            Machine(report.machine, report.zone, report.spot, report.type, report.endpoint, loop.now()).also { fresh ->
-                context.replica.images[name]
-                    ?.value
-                    ?.byMachine
-                    ?.get(fresh.name)
-                    ?.let(fresh::rememberImages)
+    /**
+     * The report may be of the machine's earlier life. It is not taken in, but while the machine answers questions, its
+     * lease must go on; one that doesn't gets no 200.
+     */
+    private fun answerInDoubt(machine: Machine): ByteArray? {
+        fence(machine)
+        if (loop.now() >= machine.heardAt + (context.reportS * SILENT_REPORTS).seconds) return null
+        machine.answeredAt = loop.now()
+        return WorkerWire.answer(baton, emptyList())
+    }
+
+    /**
+     * A worker whose reports come, but which takes up no baton: our answers don't arrive. A 200 sent is no proof, but it
+     * must be reckoned with; so it gets none any more, and its lease surely runs out.
+     */
+    private fun inVain(machine: Machine): Boolean =
+        open && !fenced(machine) && machine.answersInVain >= MOST_IN_VAIN
+
+    /** Asks a machine that was dropped whether it lives; copies of old reports get no answer. */
+    private fun ask(report: Report) {
+        if (!open || departures.forGood(report.machine) || !asked.add(report.machine)) return
+        val request = Request(Method.POST, WorkerWire.COMMAND_PATH, WorkerWire.order(baton, report.session, emptyList()))
+        context.http.call(report.endpoint, request, COMMAND_TIMEOUT) { reply ->
+            asked -= report.machine
+            val answer = reply?.let { WorkerWire.parseReport(it.body) }
+            if (answer != null && answer.machine == report.machine && departures.knows(answer.machine)) {
+                log.info("{} is back in session {}", answer.machine, answer.session)
+                val departed = departures.sessionOf(answer.machine)
+                hear(answer).doubtUpTo(departed, Long.MAX_VALUE)
+                departures.isBack(answer.machine)
             }
         }
+    }
+
+    private fun hear(report: Report): Machine {
+        val machine = machines.getOrPut(report.machine) { discover(report) }
         val before = machine.session
         if (machine.update(report, loop.now())) {
             if (machine.session > before) machine.runs.toList().forEach { lost(it, "session ${machine.session} began") }
@@ -211,11 +267,35 @@
         return machine
     }
 
+    private fun discover(report: Report): Machine {
+        val ours = departures.knows(report.machine)
+        val fresh = Machine(report.machine, report.zone, report.spot, report.type, report.endpoint, loop.now(), ours)
+        context.replica.images[name]
+            ?.value
+            ?.byMachine
+            ?.get(fresh.name)
+            ?.let(fresh::rememberImages)
+        return fresh
+    }
+
+    /**
+     * Its answer to a question of ours counts from the start again, so nothing that was on the machine is there any more. A
+     * start of unknown outcome may yet arrive and act, since its session may have the same number: it stays bound.
+     */
+    private fun beganAnew(machine: Machine, report: Report) {
+        log.info("{} began anew, {} tasks lost", machine.name, machine.runs.size)
+        machine.beginAnew(report, loop.now())
+        for (run in machine.runs.toList()) {
+            if (machine.tainted(run.task, run.trip)) run.startAgain(loop.now()) else lost(run, "${machine.name} began anew")
+        }
+        if (fenced(machine)) match(machine)
+    }
+
     /** Only what a worker says after it has seen our baton is final: earlier owners' commands can't act any more. */
     private fun fenced(machine: Machine): Boolean = machine.baton >= first
 
     private fun fence(machine: Machine) {
-        if (machine.commandInFlight || loop.now() < machine.commandSentAt + RESEND) return
+        if (!open || machine.commandInFlight || loop.now() < machine.commandSentAt + RESEND) return
         send(machine, emptyList())
     }
 
@@ -329,6 +409,7 @@
     private fun settle(machine: Machine) {
         if (!open || machine.commandInFlight || machine.deleting || !context.membership.mayAct) return
         if (!fenced(machine)) return fence(machine)
+        if (machine.deaf) fence(machine)
         for (run in machine.runs.toList()) {
             if (run.state == RunState.STOPPING && !run.seen && run.startSentAt == Moment.NEVER) lost(run, "never sent")
         }
@@ -340,7 +421,7 @@
         val now = loop.now()
         val commands = ArrayList<Command>()
         for (box in machine.boxes) {
-            if (machine.runs.any { it.task == box.task && it.trip == box.trip }) continue
+            if (machine.runOf(box) != null) continue
             if (box.state != BoxState.EXITED) {
                 commands += Command.Halt(box.task, box.trip, 0.0)
             } else if (!machine.tainted(box.task, box.trip) &&
@@ -396,8 +477,9 @@
     private fun send(machine: Machine, commands: List<Command>) {
         if (!context.membership.mayAct) return
         markSent(commands, machine)
+        val sentAt = loop.now()
         machine.commandInFlight = true
-        machine.commandSentAt = loop.now()
+        machine.commandSentAt = sentAt
         val body = WorkerWire.order(baton, machine.session, commands)
         val mine = taint(machine, commands, actsUntil = null)
         context.http.call(
@@ -406,12 +488,12 @@
             COMMAND_TIMEOUT,
         ) { reply ->
             machine.commandInFlight = false
-            machine.deaf = reply == null
-            if (machines[machine.name] === machine) commanded(machine, reply, mine)
+            machine.deafSince = if (reply == null) machine.deafSince ?: loop.now() else null
+            if (machines[machine.name] === machine) commanded(machine, reply, mine, sentAt)
         }
     }
 
-    private fun commanded(machine: Machine, reply: Reply?, mine: List<Taint>) {
+    private fun commanded(machine: Machine, reply: Reply?, mine: List<Taint>, sentAt: Moment) {
         // An answer says that this copy was executed or never will be.
         if (reply?.status == OK || reply?.status == CONFLICT) machine.taints.removeAll(mine.toSet())
         val report = reply?.let { WorkerWire.parseReport(it.body) }
@@ -421,6 +503,8 @@
             ) {
                 log.info("{} obeys a higher baton {} than ours, {}", machine.name, report.baton, baton)
             }
+            // Asked after its last numbers were taken in, yet it answers with none higher.
+            if (sentAt > machine.takenAt && !report.newerThan(machine.session, machine.tally)) beganAnew(machine, report)
             hear(report)
         } else if (reply != null) {
             log.warn("{} answered a command with {}", machine.name, reply.status)
@@ -432,6 +516,7 @@
 
     fun tick() {
         if (!open) return
+        outcomes.flush()
         val now = loop.now()
         expire(now)
         findMissing(now)
@@ -453,8 +538,14 @@
         }
     }
 
-    fun remove(machine: Machine) {
+    fun deleted(machine: Machine) {
+        remove(machine)
+        departures.deleted(machine.name)
+    }
+
+    private fun remove(machine: Machine) {
         machines.remove(machine.name)
+        departures.expired(machine.name, machine.session)
         machine.runs.toList().forEach { lost(it, "${machine.name} is gone") }
     }
 
@@ -463,7 +554,7 @@
      * baton or has lost its lease. The cloud's list can't shorten the wait: it lags.
      */
     private fun findMissing(now: Moment) {
-        if (now < strangersGoneAt || machines.values.any { !fenced(it) }) return
+        if (now < strangersGoneAt || machines.values.any { !fenced(it) && !it.ours }) return
         val missing = allRuns().filter { it.state == RunState.MISSING }.toList()
         for (run in missing) {
             run.moveTo(RunState.WAITING, "on no worker", now)
@@ -489,7 +580,7 @@
         run.target = decision.target
         run.restarted = true
         run.straggledS = run.runningSince?.let { loop.now().secondsSince(it) }
-        outcomes.note(this, run)
+        outcomes.note(run)
         stop(run, StopReason.RESTARTED)
     }
 
@@ -497,89 +588,33 @@
 
     private fun place(now: Moment) {
         if (!context.membership.mayAct) return
-        val waiting = allRuns()
-            .filter { it.state == RunState.WAITING && now >= it.notBefore }
-            .sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMs }, { it.task.index }))
-            .toList()
-        if (waiting.isEmpty()) return
-        val rooms = machines.values
-            .filter { usable(it, now) }
-            .mapNotNull { machine ->
-                context.types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, ::requestOf)) }
-            }
-        val hopeless = HashSet<JobId>()
-        for (run in waiting) {
-            val chosen = if (run.task.job in hopeless) null else choose(run, rooms)
-            if (chosen != null) {
-                chosen.free -= run.spec.request
-                run.target = null
-                run.bind(chosen.machine, Trip.of(baton, ++trips))
-                run.moveTo(RunState.STARTING, "placed", now)
-                settle(chosen.machine)
-                continue
-            }
-            if (preemptFor(run, rooms)) continue
-            // Room gathers for it on one machine, or smaller tasks would take every piece that comes free.
-            if (hopeless.add(run.task.job)) {
-                rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
-            }
-            if (now >= run.since + PATIENCE) finish(run, RunState.GONE, "no room")
-        }
-    }
-
-    private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
-
-    fun usable(machine: Machine, now: Moment): Boolean = fenced(machine) && !machine.draining && !machine.deleting &&
+        val waiting = allRuns().filter { it.state == RunState.WAITING && now >= it.notBefore }.toList()
+        if (waiting.isNotEmpty()) placer.place(waiting, machines.values.filter { usable(it, now) }, now)
+    }
+
+    private val placer = Placer(
+        context.types,
+        ::requestOf,
+        start = { run, machine ->
+            run.bind(machine, Trip.of(baton, ++trips))
+            run.moveTo(RunState.STARTING, "placed", loop.now())
+            settle(machine)
+        },
+        stop = { stop(it, StopReason.PREEMPTED) },
+        giveBack = { finish(it, RunState.GONE, "no room") },
+    )
+
+    /** Nothing is placed where a command has just gone unanswered: it might be bound there for a lease. */
+    private fun usable(machine: Machine, now: Moment): Boolean = sound(machine, now) && !machine.deaf
+
+    /** Whether it is worth keeping: one that has not obeyed for a lease will not. */
+    private fun worthKeeping(machine: Machine, now: Moment): Boolean =
+        sound(machine, now) && machine.deafSince?.let { now < it + context.leaseS.seconds } ?: true
+
+    private fun sound(machine: Machine, now: Moment): Boolean = fenced(machine) && !machine.draining && !machine.deleting &&
         !machine.noticed && !machine.faulty && now >= machine.suspectUntil &&
         now < machine.heardAt + (context.reportS * SILENT_REPORTS).seconds
 
-    private fun allowed(spec: JobSpec, machine: Machine) = spec.allows(machine.typeName, machine.zone, machine.spot)
-
-    /** The cheapest place, then the fullest: what is empty can be returned. */
-    private fun choose(run: Run, rooms: List<Candidate>): Candidate? = rooms
-        .filter {
-            run.spec.request.fitsIn(it.free) && allowed(run.spec, it.machine) && it.machine.name !in run.avoid &&
-                it.machine.boxes.none { box -> box.task == run.task }
-        }.minWithOrNull(
-            compareBy<Candidate> { if (it.machine.name == run.target) 0 else 1 }
-                .thenBy { cost(run.spec, it, preempts = false) }
-                .thenBy { it.free.cpus },
-        )
-
-    private fun cost(spec: JobSpec, room: Candidate, preempts: Boolean): Double {
-        val there = room.machine.hasImage(spec.image) || room.machine.fetching(spec.image)
-        return PlacementCost.of(spec, room.type, room.machine.spot, there, preempts)
-    }
-
-    /** Stops work of lower priority for [run]; true while such work is on its way out. */
-    private fun preemptFor(run: Run, rooms: List<Candidate>): Boolean {
-        val plan = rooms
-            .filter { allowed(run.spec, it.machine) && it.machine.name !in run.avoid }
-            .mapNotNull { room -> victims(run, room)?.let { room to it } }
-            .minWithOrNull(compareBy({ cost(run.spec, it.first, preempts = true) }, { it.second.size })) ?: return false
-        for (victim in plan.second) stop(victim, StopReason.PREEMPTED)
-        return true
-    }
-
-    /** The runs to stop so that [run] fits; those already stopping come first, at no further cost. */
-    private fun victims(run: Run, room: Candidate): List<Run>? {
-        var free = room.free
-        val chosen = ArrayList<Run>()
-        val candidates = room.machine.runs
-            .filter { it.onMachine && it.spec.priority > run.spec.priority && it.spec.kind == JobKind.ARRAY }
-            .sortedWith(
-                compareBy<Run> { if (it.state == RunState.STOPPING) 0 else 1 }
-                    .thenByDescending { it.spec.priority }
-                    .thenByDescending { it.runningSince?.ms ?: Long.MAX_VALUE },
-            )
-        for (victim in candidates) {
-            if (run.spec.request.fitsIn(free)) break
-            free += victim.spec.request
-            chosen += victim
-        }
-        return chosen.takeIf { it.isNotEmpty() && run.spec.request.fitsIn(free) }
-    }
-
     /** The images of the block's machines, as many as fit into a value of [limitBytes]. */
     fun imageRecord(limitBytes: Int): ImageRecord {
         var left = limitBytes
@@ -607,10 +642,9 @@
                 free -= request
                 next.remove()
             }
-            val yielding = Priority.entries.map { priority ->
-                machine.runs
-                    .filter { it.spec.priority == priority && it.spec.kind == JobKind.ARRAY && it.onMachine }
-                    .fold(Resources.ZERO) { sum, run -> sum + run.spec.request }
+            val yielding = Array(Priority.entries.size) { Resources.ZERO }
+            for (run in machine.runs) {
+                if (run.spec.kind == JobKind.ARRAY && run.onMachine) yielding[run.spec.priority.ordinal] += run.spec.request
             }
             val empty = machine.runs.isEmpty() && machine.boxes.isEmpty()
             MachineRoom(
@@ -619,9 +653,10 @@
                 machine.zone,
                 machine.spot,
                 usable(machine, now),
+                worthKeeping(machine, now),
                 if (empty) now.ms - machine.emptySince.ms else 0,
                 free,
-                yielding,
+                yielding.asList(),
                 machine.cachedImages,
             )
         }
@@ -632,6 +667,7 @@
         private const val OK = 200
         private const val CONFLICT = 409
         private const val LEASE_MARGIN_S = 0.5
+        private const val MOST_IN_VAIN = 4
         private const val SILENT_REPORTS = 2.5
         private const val MOST_COMMANDS = 200
         private const val BACKOFF_S = 1.0
@@ -645,7 +681,6 @@
         private val COMMAND_TIMEOUT = 1500.milliseconds
         private const val IMAGES_REMEMBERED = 12
         private const val BYTES_AROUND = 6
-        private val PATIENCE = 2.seconds
         private val SUSPECT = 10.seconds
         private val ORDER_OF_COMMANDS = listOf(Command.Reap::class, Command.Halt::class, Command.Start::class)
         private val log = LoggerFactory.getLogger("owner")
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -9,6 +9,7 @@
 import copperglade.protocol.UserWire
 import copperglade.protocol.WorkerWire
 import copperglade.protocol.secondsSince
+import copperglade.storage.BudgetShare
 import copperglade.storage.Replica
 import copperglade.storage.ReplicaState
 import copperglade.storage.StateClient
@@ -37,8 +38,10 @@
         http,
         settings.state,
         StateLimits(settings.stateRps, settings.stateWriteRps, settings.valueKb, settings.transactionWrites),
+        // Until it knows the others, it takes no more than would be left to it if they all lived.
+        firstShare = BUDGET_USED / (settings.peers.size + 1),
     )
-    private val replica = Replica(loop, store)
+    private val replica = Replica(loop, store, readers = settings.peers.size + 1)
     private val vouching = Vouching(loop, http, store, settings.member, settings.peers)
     private val staleness = stalenessLimit(settings, tuning)
     private val membership = Membership(
@@ -65,11 +68,21 @@
         settings.cloud,
         cloudBudget,
     )
-    private val notes = Notes(loop, http, settings.peers, ::composeNote, ::heardNote)
+    private val notes = Notes(
+        loop,
+        http,
+        store,
+        settings.member,
+        settings.peers,
+        ::composeNote,
+        { replica.lead?.value?.member },
+        ::heardNote,
+    )
     private val roomBook = RoomBook(replica, blockMap)
+    private val turns = Turns(tuning.turnAfterS, tuning.turnShare)
     private val assigner =
-        Assigner(loop, store, replica, leadership, roomBook, types, settings.teams, settings.deadlineTimes, ::noteOf)
-    private val closer = Closer(store, replica, leadership, settings.transactionWrites)
+        Assigner(loop, store, replica, leadership, roomBook, types, settings.teams, settings.deadlineTimes, turns, ::roomNoteOf)
+    private val closer = Closer(store, replica, leadership)
     private val fleet = Fleet(
         loop,
         http,
@@ -98,6 +111,7 @@
 
     fun start() {
         replica.listen(owner)
+        replica.listen { touched -> touched.notes.mapNotNull(PeerWire::decode).forEach(notes::receiveRoundabout) }
         membership.onChange = owner::reconcile
         types.start()
         replica.start()
@@ -127,11 +141,10 @@
         }
     }
 
-    /** All controllers together must stay within the state service's budgets; the lead writes most. */
+    /** All controllers together must stay within the state service's budgets; whoever has more to write gets more. */
     private fun shareBudget() {
-        val members = replica.members.size.coerceAtLeast(1)
-        val parts = members + 1
-        store.setShare(BUDGET_USED * (if (leadership.leading) 2 else 1) / parts)
+        val others = (replica.members.keys - settings.member).map { noteOf(it)?.writesWanted }
+        store.setShares(BUDGET_USED / (others.size + 1), BUDGET_USED * BudgetShare.of(store.writesWanted, others, settings.stateWriteRps))
     }
 
     private fun composeNote(): PeerNote? {
@@ -146,6 +159,7 @@
             blocks = owner.rooms(),
             release = if (leading) granter.release else emptyList(),
             retire = if (leading) fleet.retire else emptyList(),
+            writesWanted = store.writesWanted,
         )
     }
 
@@ -161,6 +175,9 @@
     private fun noteOf(member: MemberId): PeerNote? =
         if (member == settings.member) ownNote else notes.of(member)
 
+    private fun roomNoteOf(member: MemberId): PeerNote? =
+        if (member == settings.member) ownNote else notes.roomOf(member)
+
     // ---- requests ----
 
     private fun handleClient(request: Request, responder: Responder) {
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -226,7 +226,7 @@
         for (machine in listed.values) {
             val kind = Kind(machine.type, machine.zone, machine.spot)
             if (machine.name in deletedAt || isDead(machine, now)) continue
-            if (rooms[machine.name]?.usable == false && now.secondsSince(heardAt[machine.name] ?: now) < UNHEARD_S) continue
+            if (rooms[machine.name]?.worthKeeping == false && now.secondsSince(heardAt[machine.name] ?: now) < UNHEARD_S) continue
             count(kind, 1, counts, stock)
         }
         for (hire in hired.values) count(hire.kind, 1, counts, stock)
@@ -303,7 +303,7 @@
     }
 
     private fun unusable(rooms: Map<MachineName, MachineRoom>): List<MachineName> {
-        val idle = rooms.values.filter { !it.usable && it.idleMs > UNUSABLE_IDLE_MS }
+        val idle = rooms.values.filter { !it.worthKeeping && it.idleMs > UNUSABLE_IDLE_MS }
         return idle.map { it.name }
     }
 
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -36,6 +36,8 @@
     val typeName: String,
     var endpoint: Endpoint,
     now: Moment,
+    /** Whether its present session surely began under the present owner, so that no former owner's command can act. */
+    val ours: Boolean = false,
 ) {
     var session = 0L
         private set
@@ -52,17 +54,36 @@
     var heardAt = now
         private set
 
-    /** When a report was last answered with 200: the lease ends [leaseS] after that at the latest. */
+    /** When the numbers of the latest report were taken in. */
+    var takenAt = Moment.NEVER
+        private set
+
+    /** The numbers of the latest report that the worker sent by itself. */
+    private var sentSession = 0L
+    private var sentTally = -1L
+
+    /** The highest numbers of an earlier life, before the machine began anew. */
+    private var formerSession = 0L
+    private var formerTally = -1L
+
+    /** When a report was last answered with 200: the lease ends a lease's time after that at the latest. */
     var answeredAt = now
+
+    /** Answers since the baton in them could have been taken up, had any arrived. */
+    var answersInVain = 0
     var emptySince = now
-    val runs = LinkedHashSet<Run>()
+    private val runsByTrip = LinkedHashMap<Trip, Run>()
+
+    /** The runs bound to this machine. */
+    val runs: Collection<Run> get() = runsByTrip.values
     val taints = ArrayList<Taint>()
     val reapedAt = HashMap<Trip, Moment>()
     var commandInFlight = false
     var commandSentAt = Moment.NEVER
 
-    /** Whether the last direct command went unanswered; then commands go out with the answers to reports. */
-    var deaf = false
+    /** Since when direct commands have gone unanswered; then commands go out with the answers to reports. */
+    var deafSince: Moment? = null
+    val deaf: Boolean get() = deafSince != null
     var draining = false
     var deleting = false
     val failedJobs = HashSet<JobId>()
@@ -72,10 +93,51 @@
     val cachedImages: List<ImageName> get() = images.keys.toList()
     val faulty: Boolean get() = failedJobs.size >= FAULTY_JOBS
 
-    /** Takes in a report; false where a newer one is known already. */
+    /**
+     * Whether a report is no newer than one that the worker has sent already. It sends one at a time, so it waits for
+     * no answer to this one any more: a late copy.
+     */
+    fun isCopy(report: Report): Boolean = !report.newerThan(sentSession, sentTally)
+
+    /**
+     * Whether a report may as well be of an earlier life of the machine, late: then only answers to our own questions
+     * tell how it is.
+     */
+    fun isDoubtful(report: Report): Boolean = !report.newerThan(formerSession, formerTally)
+
+    /** Reports up to these numbers may be of an earlier life. */
+    fun doubtUpTo(session: Long, tally: Long) {
+        if (session < formerSession || (session == formerSession && tally <= formerTally)) return
+        formerSession = session
+        formerTally = tally
+    }
+
+    /** Takes note that the worker itself sent [report] and waits for the answer. */
+    fun sentBy(report: Report) {
+        sentSession = report.session
+        sentTally = report.tally
+    }
+
+    /** Takes in a report; false where a newer one is known already: it says nothing, not even that the machine lives. */
     fun update(report: Report, now: Moment): Boolean {
-        heardAt = now
         if (!report.newerThan(session, tally)) return false
+        take(report, now)
+        return true
+    }
+
+    /** The machine has begun anew and counts from the start again. */
+    fun beginAnew(report: Report, now: Moment) {
+        doubtUpTo(session, tally)
+        doubtUpTo(sentSession, sentTally)
+        sentSession = 0
+        sentTally = -1
+        baton = Baton.NONE
+        take(report, now)
+    }
+
+    private fun take(report: Report, now: Moment) {
+        heardAt = now
+        takenAt = now
         session = report.session
         tally = report.tally
         if (report.baton > baton) baton = report.baton
@@ -85,9 +147,18 @@
         taints.removeIf { it.session < session || it.baton < baton }
         reapedAt.keys.removeIf { trip -> boxes.none { it.trip == trip } }
         if (boxes.any { it.state != BoxState.EXITED }) emptySince = now
-        return true
     }
 
+    fun attach(run: Run) {
+        runsByTrip[run.trip] = run
+    }
+
+    fun detach(run: Run) {
+        runsByTrip.remove(run.trip)
+    }
+
+    fun runOf(box: Box): Run? = runsByTrip[box.trip]?.takeIf { it.task == box.task }
+
     fun box(task: TaskId, trip: Trip): Box? = boxes.firstOrNull { it.trip == trip && it.task == task }
 
     fun tainted(task: TaskId, trip: Trip): Boolean = taints.any { it.trip == trip && it.task == task }
@@ -111,7 +182,7 @@
         var free = type.capacity
         for (run in runs) if (run.onMachine) free -= run.spec.request
         for (box in boxes) {
-            if (box.state == BoxState.EXITED || runs.any { it.task == box.task && it.trip == box.trip }) continue
+            if (box.state == BoxState.EXITED || runOf(box) != null) continue
             // A stray of a job that is over: nobody knows its size, so nothing fits beside it.
             free -= requestOf(box.task) ?: type.capacity
         }
--- a/src/main/kotlin/copperglade/coordination/Membership.kt
+++ b/src/main/kotlin/copperglade/coordination/Membership.kt
@@ -11,6 +11,7 @@
 import copperglade.storage.MemberRecord
 import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
+import copperglade.storage.ReplicaState
 import copperglade.storage.StateClient
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
@@ -135,6 +136,10 @@
     /** Replaces the key of our predecessor, who is dead: a process of this name runs only once. */
     private fun register() {
         val permit = hold.permit ?: return retry("hold lost")
+        if (replica.state != ReplicaState.CURRENT && hold.alive) {
+            loop.after(LOOK) { register() }
+            return
+        }
         replica.fresh { known ->
             if (!known) return@fresh retry("state service silent")
             val before = replica.members[self]?.stamp ?: Stamp.ABSENT
@@ -177,6 +182,7 @@
     private companion object {
         const val EXTENDS_PER_HOLD = 8
         val RETRY = 300.milliseconds
+        val LOOK = 20.milliseconds
         val log = LoggerFactory.getLogger("member")
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Notes.kt
+++ b/src/main/kotlin/copperglade/coordination/Notes.kt
@@ -10,7 +10,13 @@
 import copperglade.protocol.PeerWire
 import copperglade.protocol.Resources
 import copperglade.protocol.Stamp
+import copperglade.storage.Keys
+import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
+import copperglade.storage.StateClient
+import copperglade.storage.Transaction
+import copperglade.storage.Urgency
+import copperglade.storage.Write
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
 import copperglade.transport.Method
@@ -18,31 +24,58 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Sends this controller's note to its peers and keeps the latest of theirs. */
+/**
+ * Sends this controller's note to its peers and keeps the latest of theirs. Where the lead can't be reached, because
+ * controllers refuse each other, a member's room goes to it through the state service: less of it, and less often.
+ */
 class Notes(
     private val loop: EventLoop,
     private val http: HttpCaller,
+    private val store: StateClient,
+    private val self: MemberId,
     private val peers: List<Peer>,
     private val compose: () -> PeerNote?,
+    private val leader: () -> MemberId?,
     private val heard: (PeerNote) -> Unit,
 ) {
     private class Received(val note: PeerNote, val at: Moment)
 
     private val latest = HashMap<MemberId, Received>()
+    private val roundabout = HashMap<MemberId, Received>()
     private val busy = HashSet<MemberId>()
+    private val deliveredAt = HashMap<MemberId, Moment>()
+    private var recordedAt = Moment.NEVER
 
     fun start() {
         compose()?.let { note ->
-            val body = PeerWire.encode(note)
             heard(note)
-            peers.filter { it.member !in busy }.forEach { send(it, body) }
+            val lead = leader()
+            // Only the lead works with the rooms; for hundreds of machines they are most of a note.
+            val whole = PeerWire.encode(note)
+            val brief = PeerWire.encode(note.brief())
+            peers.filter { it.member !in busy }.forEach { send(it, if (it.member == lead) whole else brief) }
+            if (lead != null && lead != self) recordIfCutOff(lead, note)
         }
         loop.after(PACE) { start() }
     }
 
     private fun send(peer: Peer, body: ByteArray) {
         busy += peer.member
-        http.call(peer.endpoint, Request(Method.POST, PeerWire.PATH, body), TIMEOUT) { busy -= peer.member }
+        http.call(peer.endpoint, Request(Method.POST, PeerWire.PATH, body), TIMEOUT) { reply ->
+            busy -= peer.member
+            if (reply?.status == OK) deliveredAt[peer.member] = loop.now()
+        }
+    }
+
+    private fun recordIfCutOff(lead: MemberId, note: PeerNote) {
+        val now = loop.now()
+        val reached = deliveredAt.getOrPut(lead) { now }
+        if (now < reached + UNREACHED || now < recordedAt + RECORD_PACE) return
+        recordedAt = now
+        val limit = (store.limits.valueKb * BYTES_OF_KB * PART_OF_VALUE).toInt()
+        val write = Write.Set(Keys.room(self), RecordCodec.encodeNote(PeerWire.encode(note.shortened(limit))))
+        // A hint only, and of use only while it is new: no condition, and what comes late is told by its incarnation.
+        store.commit(Urgency.ASSIGNMENT, Transaction(emptyList(), listOf(write))) {}
     }
 
     fun receive(note: PeerNote) {
@@ -50,25 +83,40 @@
         heard(note)
     }
 
+    fun receiveRoundabout(note: PeerNote) {
+        if (note.member != self) roundabout[note.member] = Received(note, loop.now())
+    }
+
     fun of(member: MemberId): PeerNote? = latest[member]?.takeIf { loop.now() < it.at + FRESH }?.note
 
+    /** What is known of a member's room, by whichever way; it may be only a part. */
+    fun roomOf(member: MemberId): PeerNote? = of(member) ?: roundabout[member]?.takeIf { loop.now() < it.at + FRESH_ROUNDABOUT }?.note
+
     companion object {
+        private const val OK = 200
+        private const val BYTES_OF_KB = 1024
+
+        /** Bytes become a third more in JSON. */
+        private const val PART_OF_VALUE = 0.65
         private val PACE = 150.milliseconds
         private val TIMEOUT = 1.seconds
         private val FRESH = 2.seconds
+        private val UNREACHED = 1500.milliseconds
+        private val RECORD_PACE = 1500.milliseconds
+        private val FRESH_ROUNDABOUT = 4.seconds
     }
 }
 
 /** Room that the lead counts on, less what it has given out since the owner said so. */
 class RoomBook(private val replica: Replica, private val blockMap: BlockMap) {
-    private class Given(val block: BlockName, val machine: MachineName, val stamp: Stamp, val request: Resources)
+    private class Given(val stamp: Stamp, val request: Resources)
 
     class Room(val block: BlockName, val machine: MachineRoom, var free: Resources, val yielding: Array<Resources>) {
         /** Kept for a task that doesn't fit yet: small ones must not take every piece of room that comes free. */
         var kept = false
     }
 
-    private val given = ArrayList<Given>()
+    private val given = HashMap<MachineName, MutableList<Given>>()
 
     /** The rooms of all blocks whose owners have been heard lately. */
     fun rooms(noteOf: (MemberId) -> PeerNote?): List<Room> {
@@ -78,18 +126,23 @@
             val note = noteOf(record.value.member)?.takeIf { it.incarnation == record.value.incarnation } ?: continue
             val room =
                 note.blocks.firstOrNull { it.block == block && it.baton.number == record.stamp.number } ?: continue
-            given.removeIf { it.block == block && it.stamp <= note.cursor }
             for (machine in room.machines) {
-                val free = given
-                    .filter { it.block == block && it.machine == machine.name }
-                    .fold(machine.free) { left, gift -> left - gift.request }
+                val free = stillGiven(machine.name, note.cursor).fold(machine.free) { left, gift -> left - gift.request }
                 rooms += Room(block, machine, free, machine.yielding.toTypedArray())
             }
         }
         return rooms
     }
 
+    /** What the owner didn't know of yet when it wrote its note. */
+    private fun stillGiven(machine: MachineName, cursor: Stamp): List<Given> {
+        val gifts = given[machine] ?: return emptyList()
+        gifts.removeIf { it.stamp <= cursor }
+        if (gifts.isEmpty()) given.remove(machine)
+        return gifts
+    }
+
     fun gave(room: Room, stamp: Stamp, request: Resources) {
-        given += Given(room.block, room.machine.name, stamp, request)
+        given.getOrPut(room.machine.name) { ArrayList() } += Given(stamp, request)
     }
 }
--- a/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
+++ b/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
@@ -1,110 +1,120 @@
 package copperglade.coordination
 
-import copperglade.protocol.BlockName
-import copperglade.protocol.JobId
+import copperglade.protocol.Moment
 import copperglade.protocol.Stamp
 import copperglade.storage.AssignmentPage
 import copperglade.storage.Condition
 import copperglade.storage.Job
+import copperglade.storage.JobPage
 import copperglade.storage.Keys
 import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
+import copperglade.storage.SheetPacker
+import copperglade.storage.SheetWrite
 import copperglade.storage.StateClient
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
 import copperglade.storage.Urgency
 import copperglade.storage.WorkPlace
 import copperglade.storage.WorkRecord
-import copperglade.storage.Write
 import copperglade.transport.EventLoop
 import java.util.BitSet
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Writes down what became of tasks. Outcomes of the same page of a job share one record, and the scarcer the write
- * budget, the longer they are gathered first.
+ * Writes down what became of a block's tasks. Outcomes of many jobs share a sheet, and are gathered first: for longer
+ * the scarcer the write budget, and for longest while the page has more tasks to come here. Until it is written down
+ * that a task is done, its box stays on its machine, so that a new owner finds it.
  */
-class OutcomeLog(private val loop: EventLoop, private val store: StateClient, private val replica: Replica) {
-    private class Item(val owner: BlockOwner, val job: JobId, val page: Int) {
-        val key get() = Triple(owner.name, job, page)
-    }
-
-    private val dirty = LinkedHashMap<Triple<BlockName, JobId, Int>, Item>()
-    private val inFlight = HashSet<Triple<BlockName, JobId, Int>>()
+class OutcomeLog(
+    private val loop: EventLoop,
+    private val store: StateClient,
+    private val replica: Replica,
+    private val owner: BlockOwner,
+) {
+    private val packer = SheetPacker(
+        replica,
+        store.limits,
+        Keys.workSheets(owner.name),
+        { job, page -> job.works[WorkPlace(page, owner.name)] },
+        { job, page -> job.works[WorkPlace(page, owner.name)]?.let { RecordCodec.encode(it.value) } },
+    )
+    private val dirtySince = LinkedHashMap<JobPage, Moment>()
 
-    fun start() = flushLater()
+    /** Pages with tasks given back, which somebody else could run. */
+    private val hasty = HashSet<JobPage>()
 
-    fun note(owner: BlockOwner, run: Run) {
-        val item = Item(owner, run.task.job, run.task.index / Keys.PAGE_TASKS)
-        dirty[item.key] = item
-    }
+    /** The block, the sheet and one that has moved, and a job each. */
+    private val mostPages = store.limits.transactionConditions - 3
 
-    fun forget(owner: BlockOwner) {
-        dirty.values.removeIf { it.owner === owner }
+    fun note(run: Run) {
+        val place = JobPage(run.task.job, run.task.index / Keys.PAGE_TASKS)
+        dirtySince.putIfAbsent(place, loop.now())
+        if (run.state == RunState.GONE) hasty += place
     }
 
-    private fun flushLater() {
-        val pause = SHORTEST_PAUSE + WIDEST_PAUSE * (1.0 - store.writeLevel())
-        loop.after(pause) {
-            flush()
-            flushLater()
+    fun flush() {
+        if (dirtySince.isEmpty() || !owner.open) return
+        val now = loop.now()
+        val scarcity = 1.0 - store.writeLevel()
+        val due = dirtySince.any { (place, since) ->
+            val pause = if (place in hasty || !moreToCome(place)) SHORTEST_PAUSE else LONGER_PAUSE
+            now >= since + pause + WIDEST_PAUSE * scarcity
         }
+        if (!due) return
+        hasty.clear()
+        val changes = LinkedHashMap<JobPage, ByteArray>()
+        for (place in dirtySince.keys.toList()) {
+            if (changes.size == mostPages) break
+            val job = replica.jobs[place.job]?.takeIf { it.live != null }
+            val record = job?.let { news(it, place.page) }
+            if (job == null || record == null) {
+                dirtySince.remove(place)
+            } else if (packer.ready(job, place.page)) {
+                changes[place] = RecordCodec.encode(record)
+            }
+        }
+        packer.pack(changes).forEach(::write)
     }
 
-    private fun flush() {
-        val ready = dirty.values.filter { it.key !in inFlight && it.owner.open }
-        for (batch in ready.groupBy { it.owner }.values.flatMap { it.chunked(RECORDS_PER_WRITE) }) write(batch)
+    private fun moreToCome(place: JobPage): Boolean = owner.runsOf(place.job).any {
+        it.task.index / Keys.PAGE_TASKS == place.page && it.state != RunState.DONE && it.state != RunState.GONE
     }
 
-    private fun write(batch: List<Item>) {
+    private fun write(sheet: SheetWrite) {
         val conditions = LinkedHashSet<Condition>()
-        val writes = ArrayList<Write>()
-        val written = ArrayList<Item>()
-        val owner = batch.first().owner
         conditions += Condition(Keys.block(owner.name), Stamp(owner.baton.number))
-        for (item in batch) {
-            val job = replica.jobs[item.job]
-            val place = WorkPlace(item.page, owner.name)
-            val record = job?.let { news(owner, it, place) }
-            if (job == null || record == null) {
-                dirty.remove(item.key)
-                continue
+        conditions += sheet.conditions
+        // The live record changes with a cancellation, after which nothing may become done any more.
+        sheet.places.mapTo(conditions) { Condition(Keys.live(it.job), replica.jobs.getValue(it.job).liveStamp()) }
+        val transaction = Transaction(conditions.toList(), sheet.writes)
+        packer.begin(sheet)
+        val since = sheet.places.associateWith { dirtySince.remove(it) ?: loop.now() }
+        store.commit(Urgency.OUTCOME, transaction) { outcome ->
+            if (outcome is TransactionOutcome.Applied) {
+                packer.end(sheet)
+                replica.applied(transaction, outcome.stamp)
+                return@commit
             }
-            val key = Keys.work(item.job, item.page, owner.name)
-            // The live record changes with a cancellation, after which nothing may become done any more.
-            conditions += Condition(Keys.live(item.job), job.liveStamp())
-            conditions += Condition(key, job.works[place]?.stamp ?: Stamp.ABSENT)
-            writes += Write.Set(key, RecordCodec.encode(record))
-            written += item
-        }
-        if (writes.isEmpty()) return
-        val transaction = Transaction(conditions.toList(), writes)
-        written.forEach {
-            inFlight += it.key
-            dirty.remove(it.key)
-        }
-        store.commit(Urgency.OUTCOME, transaction) { outcome -> finished(transaction, written, outcome) }
-    }
-
-    private fun finished(transaction: Transaction, written: List<Item>, outcome: TransactionOutcome) {
-        if (outcome is TransactionOutcome.Applied) {
-            written.forEach { inFlight -= it.key }
-            replica.applied(transaction, outcome.stamp)
-            return
-        }
-        // Whatever stood in the way, or became of the write: read first, then try what is still news.
-        val again = {
-            written.forEach {
-                inFlight -= it.key
-                dirty.putIfAbsent(it.key, it)
+            // Whatever stood in the way, or became of the write: read first, then try what is still news. What a late
+            // copy of it says stays true, so nothing has to be done against one.
+            val again = {
+                packer.end(sheet)
+                since.forEach { (place, first) -> dirtySince.merge(place, first) { a, b -> minOf(a, b) } }
+            }
+            if (outcome ==
+                TransactionOutcome.Refused
+            ) {
+                loop.after(AFTER_REFUSAL, again)
+            } else {
+                replica.fresh { loop.after(AFTER_CONFLICT, again) }
             }
         }
-        if (outcome == TransactionOutcome.Refused) loop.after(AFTER_REFUSAL, again) else replica.fresh { loop.after(AFTER_CONFLICT, again) }
     }
 
     /** The record that says all that is known, or null where it says nothing new. */
-    private fun news(owner: BlockOwner, job: Job, place: WorkPlace): WorkRecord? {
-        val present = job.works[place]?.value ?: WorkRecord.EMPTY
+    private fun news(job: Job, page: Int): WorkRecord? {
+        val present = job.works[WorkPlace(page, owner.name)]?.value ?: WorkRecord.EMPTY
         val done = present.done.clone() as BitSet
         val restarted = present.restarted.clone() as BitSet
         val returned = HashMap<Int, BitSet>()
@@ -112,7 +122,7 @@
         var changed = false
         for (run in owner.runsOf(job.id)) {
             val index = run.task.index
-            if (index / Keys.PAGE_TASKS != place.page) continue
+            if (index / Keys.PAGE_TASKS != page) continue
             val gone = run.state == RunState.GONE || (run.state == RunState.DONE && job.cancelled)
             if (run.state == RunState.DONE && !gone) {
                 changed = changed || !done.get(index)
@@ -128,14 +138,15 @@
                 restarted.set(index)
             }
         }
-        return if (changed) WorkRecord(done, stillNeeded(returned, job.pages[place.page]?.value, owner.name), restarted) else null
+        if (!changed) return null
+        return WorkRecord(done, stillNeeded(returned, job.pages[page]?.value), restarted, present.version + 1)
     }
 
     /** Give-backs matter only as long as the lead's page still names the assignment. */
-    private fun stillNeeded(returned: Map<Int, BitSet>, page: AssignmentPage?, block: BlockName): Map<Int, BitSet> {
+    private fun stillNeeded(returned: Map<Int, BitSet>, page: AssignmentPage?): Map<Int, BitSet> {
         val needed = HashMap<Int, BitSet>()
         for (group in page?.groups.orEmpty()) {
-            if (group.block != block) continue
+            if (group.block != owner.name) continue
             val tasks = (returned[group.generation] ?: continue).clone() as BitSet
             tasks.and(group.tasks)
             if (!tasks.isEmpty) needed[group.generation] = tasks
@@ -144,9 +155,9 @@
     }
 
     private companion object {
-        const val RECORDS_PER_WRITE = 5
         val SHORTEST_PAUSE = 60.milliseconds
-        val WIDEST_PAUSE = 900.milliseconds
+        val LONGER_PAUSE = 350.milliseconds
+        val WIDEST_PAUSE = 1800.milliseconds
         val AFTER_CONFLICT = 20.milliseconds
         val AFTER_REFUSAL = 300.milliseconds
     }
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -41,11 +41,9 @@
     private val replica = context.replica
     private val membership = context.membership
     private val owned = HashMap<BlockName, BlockOwner>()
-    private val outcomes = OutcomeLog(loop, store, replica)
     private val keyInFlight = HashSet<BlockName>()
 
     fun start() {
-        outcomes.start()
         tickLater()
         rememberLater()
     }
@@ -53,7 +51,7 @@
     /** Keeps the image records up, at leisure: they spare fetches after a takeover, and nothing depends on them. */
     private fun rememberLater() {
         loop.after(REMEMBER_PACE) {
-            if (membership.mayAct) owned.values.filter { it.open }.forEach(::rememberImages)
+            if (membership.mayAct && store.writeLevel() > PLENTY) owned.values.filter { it.open }.forEach(::rememberImages)
             rememberLater()
         }
     }
@@ -112,7 +110,7 @@
 
     private fun open(name: BlockName, baton: Baton) {
         log.info("block {} is ours with baton {}", name, baton)
-        val block = BlockOwner(context, name, baton, outcomes)
+        val block = BlockOwner(context, store, name, baton)
         owned[name] = block
         openOnceFresh(block)
     }
@@ -128,7 +126,7 @@
     private fun close(block: BlockOwner) {
         log.info("block {} is no longer ours", block.name)
         owned.remove(block.name)
-        outcomes.forget(block)
+        block.close()
     }
 
     /** Writes the key anew to get a new baton, which ends whatever late copies of our own commands could do. */
@@ -189,7 +187,9 @@
     fun checkin(report: Report): Reply {
         val name = blockMap.of(report.machine, report.zone)
         val block = owned[name]
-        if (block != null && membership.mayAct) return Reply(OK, block.checkin(report))
+        if (block != null && membership.mayAct) {
+            return block.checkin(report)?.let { Reply(OK, it) } ?: Reply(UNAVAILABLE)
+        }
         return Reply(MISDIRECTED, WorkerWire.sendOn(ownerElsewhere(name)))
     }
 
@@ -213,8 +213,8 @@
                     }
                 }
             }.filter { (_, machine) ->
-                machine.runs.isEmpty() && machine.boxes.isEmpty() && !machine.commandInFlight &&
-                    !machine.deleting
+                // A question may be under way to it, but no start: that would have bound a run.
+                machine.runs.isEmpty() && machine.boxes.isEmpty() && !machine.deleting
             }.take(CloudWire.MOST_DELETED)
         if (empty.isEmpty() || !cloudBudget.tryTake(1, loop.now())) return
         empty.forEach { (_, machine) ->
@@ -227,7 +227,7 @@
             val deleted = reply?.status == OK
             for ((block, machine) in empty) {
                 machine.deleting = false
-                if (deleted && block.machines[machine.name] === machine) block.remove(machine)
+                if (deleted && block.machines[machine.name] === machine) block.deleted(machine)
             }
             if (deleted) log.info("returned {}", empty.map { it.second.name })
         }
@@ -236,9 +236,11 @@
     private companion object {
         const val OK = 200
         const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
         const val BYTES_OF_KB = 1024
         const val PART_OF_VALUE = 0.8
-        val REMEMBER_PACE = 4.seconds
+        const val PLENTY = 0.6
+        val REMEMBER_PACE = 10.seconds
         val TICK = 100.milliseconds
         val RETRY = 200.milliseconds
         val DELETE_TIMEOUT = 5.seconds
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/Placer.kt
@@ -0,0 +1,94 @@
+package copperglade.coordination
+
+import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
+import copperglade.protocol.JobSpec
+import copperglade.protocol.MachineType
+import copperglade.protocol.Moment
+import copperglade.protocol.Resources
+import copperglade.protocol.TaskId
+import kotlin.time.Duration.Companion.seconds
+
+/** Finds machines of a block for its waiting runs, and says what lower work has to make room. */
+class Placer(
+    private val types: TypeBook,
+    private val requestOf: (TaskId) -> Resources?,
+    private val start: (Run, Machine) -> Unit,
+    private val stop: (Run) -> Unit,
+    private val giveBack: (Run) -> Unit,
+) {
+    private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
+
+    fun place(waiting: List<Run>, usable: List<Machine>, now: Moment) {
+        val rooms = usable.mapNotNull { machine ->
+            types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, requestOf)) }
+        }
+        val hopeless = HashSet<JobId>()
+        for (run in waiting.sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMs }, { it.task.index }))) {
+            val chosen = if (run.task.job in hopeless) null else choose(run, rooms)
+            if (chosen != null) {
+                chosen.free -= run.spec.request
+                run.target = null
+                start(run, chosen.machine)
+                continue
+            }
+            if (preemptFor(run, rooms)) continue
+            // Room gathers for it on one machine, or smaller tasks would take every piece that comes free.
+            if (hopeless.add(run.task.job)) {
+                rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
+            }
+            if (now >= run.since + PATIENCE) giveBack(run)
+        }
+    }
+
+    private fun allowed(spec: JobSpec, machine: Machine) = spec.allows(machine.typeName, machine.zone, machine.spot)
+
+    /** The cheapest place, then the fullest: what is empty can be returned. */
+    private fun choose(run: Run, rooms: List<Candidate>): Candidate? = rooms
+        .filter {
+            run.spec.request.fitsIn(it.free) && allowed(run.spec, it.machine) && it.machine.name !in run.avoid &&
+                it.machine.boxes.none { box -> box.task == run.task }
+        }.minWithOrNull(
+            compareBy<Candidate> { if (it.machine.name == run.target) 0 else 1 }
+                .thenBy { cost(run.spec, it, preempts = false) }
+                .thenBy { it.free.cpus },
+        )
+
+    private fun cost(spec: JobSpec, room: Candidate, preempts: Boolean): Double {
+        val there = room.machine.hasImage(spec.image) || room.machine.fetching(spec.image)
+        return PlacementCost.of(spec, room.type, room.machine.spot, there, preempts)
+    }
+
+    /** Stops work of lower priority for [run]; true while such work is on its way out. */
+    private fun preemptFor(run: Run, rooms: List<Candidate>): Boolean {
+        val plan = rooms
+            .filter { allowed(run.spec, it.machine) && it.machine.name !in run.avoid }
+            .mapNotNull { room -> victims(run, room)?.let { room to it } }
+            .minWithOrNull(compareBy({ cost(run.spec, it.first, preempts = true) }, { it.second.size })) ?: return false
+        plan.second.forEach(stop)
+        return true
+    }
+
+    /** The runs to stop so that [run] fits; those already stopping come first, at no further cost. */
+    private fun victims(run: Run, room: Candidate): List<Run>? {
+        var free = room.free
+        val chosen = ArrayList<Run>()
+        val candidates = room.machine.runs
+            .filter { it.onMachine && it.spec.priority > run.spec.priority && it.spec.kind == JobKind.ARRAY }
+            .sortedWith(
+                compareBy<Run> { if (it.state == RunState.STOPPING) 0 else 1 }
+                    .thenByDescending { it.spec.priority }
+                    .thenByDescending { it.runningSince?.ms ?: Long.MAX_VALUE },
+            )
+        for (victim in candidates) {
+            if (run.spec.request.fitsIn(free)) break
+            free += victim.spec.request
+            chosen += victim
+        }
+        return chosen.takeIf { it.isNotEmpty() && run.spec.request.fitsIn(free) }
+    }
+
+    private companion object {
+        val PATIENCE = 2.seconds
+    }
+}
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -87,15 +87,23 @@
     fun bind(to: Machine, attempt: Trip) {
         machine = to
         trip = attempt
-        to.runs += this
+        to.attach(this)
         seen = false
         runningSince = null
         startSentAt = Moment.NEVER
         haltSentAt = Moment.NEVER
     }
 
+    /** Bound as it is, it has to be started once more under the same attempt. */
+    fun startAgain(now: Moment) {
+        seen = false
+        runningSince = null
+        startSentAt = Moment.NEVER
+        if (state != RunState.STOPPING) moveTo(RunState.STARTING, "its machine began anew", now)
+    }
+
     fun unbind() {
-        machine?.runs?.remove(this)
+        machine?.detach(this)
         machine = null
     }
 
--- a/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
+++ b/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
@@ -17,6 +17,7 @@
 /** Looks for stragglers in one block and weighs restarting them on another of its machines (section 6 and DESIGN). */
 class StragglerWatch(private val context: OwnerContext) {
     private var nextLook = Moment.NEVER
+    private var turns = 0
 
     fun look(machines: Collection<Machine>, now: Moment): List<RestartDecision> {
         if (now < nextLook) return emptyList()
@@ -28,11 +29,24 @@
             if (machine.draining || machine.deleting || machine.noticed || machine.faulty || silent) continue
             free[machine.name] = machine.free(type) { null }
         }
-        return machines.flatMap { it.runs }.filter { eligible(it) }.mapNotNull { run ->
+        if (free.values.none { it.cpus > 0.0 }) return emptyList()
+        // Hundreds of tasks may be late at a time. A few are weighed at each look, all in turn.
+        val late = machines.flatMap { it.runs }.filter { eligible(it) && isLate(it, now) }
+        if (late.isEmpty()) return emptyList()
+        val turn = turns % late.size
+        turns += MOST_WEIGHED
+        return (late.drop(turn) + late.take(turn)).take(MOST_WEIGHED).mapNotNull { run ->
             decide(run, machines, free, now)?.also { free.merge(it.target, run.spec.request) { a, b -> a - b } }
         }
     }
 
+    /** Past its job's average run time. */
+    private fun isLate(run: Run, now: Moment): Boolean {
+        val elapsed = now.secondsSince(run.runningSince ?: return false)
+        val average = context.profiles.averageRunS(run.task.job, run.spec.load) ?: return false
+        return elapsed > average * context.tuning.stragglerMargin
+    }
+
     /** Services never finish, gangs run together or not at all, and once is enough for any task. */
     private fun eligible(run: Run) = run.state == RunState.RUNNING && run.spec.kind == JobKind.ARRAY && !run.restarted
 
@@ -40,10 +54,10 @@
         val home = run.machine ?: return null
         val elapsed = now.secondsSince(run.runningSince ?: return null)
         val average = context.profiles.averageRunS(run.task.job, run.spec.load) ?: return null
-        if (elapsed <= average * context.tuning.stragglerMargin) return null
         // A slow machine has done less of the task than the time says.
         val done = elapsed * context.profiles.speedOf(home.name)
-        val here = context.profiles.predict(home.name, factorsOn(home, run, home.runs.size), done) ?: return null
+        val similar = context.profiles.similar(run.spec.load, done)
+        val here = context.profiles.predict(home.name, factorsOn(home, run, home.runs.size), similar) ?: return null
         val remaining = here.average - elapsed
         val options = machines.mapNotNull { machine ->
             val type = context.types[machine.typeName] ?: return@mapNotNull null
@@ -51,7 +65,7 @@
             val fits = machine !== home && machine.name !in run.avoid && run.spec.request.fitsIn(room) &&
                 run.spec.allows(machine.typeName, machine.zone, machine.spot)
             if (!fits) return@mapNotNull null
-            val prediction = context.profiles.predict(machine.name, factorsOn(machine, run, machine.runs.size + 1), done)
+            val prediction = context.profiles.predict(machine.name, factorsOn(machine, run, machine.runs.size + 1), similar)
             val fetchS = if (machine.hasImage(run.spec.image)) 0.0 else run.spec.image.gb / type.fetchGbPerS.coerceAtLeast(TINY)
             prediction?.let { Option(machine.name, it, fetchS) }
         }
@@ -89,6 +103,7 @@
 
     private companion object {
         const val TINY = 1e-6
+        const val MOST_WEIGHED = 8
         val PACE = 1.seconds
         val log = LoggerFactory.getLogger("risk")
     }
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -16,6 +16,8 @@
     val fittingSteps: Int = 4,
     val fittingRate: Double = 0.02,
     val profileCapacity: Int = 400,
+    val turnAfterS: Double = 60.0,
+    val turnShare: Double = 0.15,
     val headroom: Double = 1.15,
     val idleReplacements: Double = 0.6,
     val fadeReplacements: Double = 2.0,
--- a/src/main/kotlin/copperglade/protocol/PeerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerWire.kt
@@ -11,12 +11,16 @@
     val spot: Boolean,
     /** False where nothing new should be started, such as on a machine about to be taken back. */
     val usable: Boolean,
+    /** False where it had better be replaced. */
+    val worthKeeping: Boolean,
     val idleMs: Long,
     val free: Resources,
     /** What could be had by stopping work, by the priority of that work. */
     val yielding: List<Resources>,
     val images: List<ImageName>,
-)
+) {
+    fun withoutImages() = MachineRoom(name, type, zone, spot, usable, worthKeeping, idleMs, free, yielding, emptyList())
+}
 
 class BlockRoom(val block: BlockName, val baton: Baton, val machines: List<MachineRoom>)
 
@@ -36,7 +40,31 @@
     val release: List<BlockName>,
     /** From the lead: machines that are no longer needed. */
     val retire: List<MachineName>,
-)
+    /** Changes a second that this controller would like to make in the state service. */
+    val writesWanted: Double,
+) {
+    /** The machines with most room, without their images, as many as fit into about [bytes]. */
+    fun shortened(bytes: Int): PeerNote {
+        val most = (bytes - BYTES_BESIDE) / BYTES_A_MACHINE
+        val chosen = blocks
+            .flatMap { it.machines }
+            .filter { it.usable && it.free.cpus > 0.0 }
+            .sortedByDescending { it.free.cpus }
+            .take(most.coerceAtLeast(0))
+            .toSet()
+        val left = blocks.map { block ->
+            BlockRoom(block.block, block.baton, block.machines.filter { it in chosen }.map { it.withoutImages() })
+        }
+        return PeerNote(member, incarnation, cursor, stateSilentMs, leads, left, emptyList(), emptyList(), writesWanted)
+    }
+
+    fun brief() = PeerNote(member, incarnation, cursor, stateSilentMs, leads, emptyList(), release, retire, writesWanted)
+
+    private companion object {
+        const val BYTES_BESIDE = 400
+        const val BYTES_A_MACHINE = 100
+    }
+}
 
 /** Notes in binary, through Okio buffers. */
 object PeerWire {
@@ -44,7 +72,7 @@
 
     /** Body: the name of the member that asks to be vouched for. */
     const val VOUCH_PATH = "/vouch"
-    private const val VERSION = 1
+    private const val VERSION = 2
     private const val MOST_ITEMS = 100_000
 
     fun encode(note: PeerNote): ByteArray {
@@ -55,13 +83,19 @@
         out.writeLong(note.cursor.number)
         out.writeLong(note.stateSilentMs)
         out.flag(note.leads)
-        out.items(note.blocks) { block ->
+        // Types, zones and images recur on hundreds of machines: they are written once and then by number.
+        val words = Words()
+        val rooms = Buffer()
+        rooms.items(note.blocks) { block ->
             text(block.block.text)
             writeLong(block.baton.number)
-            items(block.machines) { machine(it) }
+            items(block.machines) { machine(it, words) }
         }
+        out.items(words.all) { text(it) }
+        out.writeAll(rooms)
         out.items(note.release) { text(it.text) }
         out.items(note.retire) { text(it.text) }
+        out.writeLong(note.writesWanted.toRawBits())
         return out.readByteArray()
     }
 
@@ -71,17 +105,20 @@
         if (source.readByte().toInt() != VERSION) {
             null
         } else {
+            var words = emptyList<String>()
             PeerNote(
                 member = MemberId(source.text()),
                 incarnation = Incarnation(source.readLong()),
                 cursor = Stamp(source.readLong()),
                 stateSilentMs = source.readLong(),
                 leads = source.flag(),
-                blocks = source.items {
-                    BlockRoom(BlockName(text()), Baton(readLong()), items { machine() })
+                blocks = source.let {
+                    words = it.items { text() }
+                    it.items { BlockRoom(BlockName(text()), Baton(readLong()), items { machine(words) }) }
                 },
                 release = source.items { BlockName(text()) },
                 retire = source.items { MachineName(text()) },
+                writesWanted = Double.fromBits(source.readLong()),
             )
         }
     } catch (_: EOFException) {
@@ -90,29 +127,45 @@
         null
     }
 
-    private fun Buffer.machine(room: MachineRoom) {
+    /** Words by number, in order of their first use. */
+    private class Words {
+        private val numbers = LinkedHashMap<String, Int>()
+        val all: List<String> get() = numbers.keys.toList()
+
+        fun number(word: String): Int = numbers.getOrPut(word) { numbers.size }
+    }
+
+    private fun Buffer.machine(room: MachineRoom, words: Words) {
         text(room.name.text)
-        text(room.type)
-        text(room.zone)
+        writeInt(words.number(room.type))
+        writeInt(words.number(room.zone))
         flag(room.spot)
         flag(room.usable)
+        flag(room.worthKeeping)
         writeLong(room.idleMs)
         resources(room.free)
-        items(room.yielding) { resources(it) }
-        items(room.images) { text(it.text) }
+        items(room.yielding) {
+            flag(it != Resources.ZERO)
+            if (it != Resources.ZERO) resources(it)
+        }
+        items(room.images) { writeInt(words.number(it.text)) }
     }
 
-    private fun Buffer.machine() = MachineRoom(
-        name = MachineName(text()),
-        type = text(),
-        zone = text(),
-        spot = flag(),
-        usable = flag(),
-        idleMs = readLong(),
-        free = resources(),
-        yielding = items { resources() },
-        images = items { ImageName(text()) },
-    )
+    private fun Buffer.machine(words: List<String>): MachineRoom {
+        fun word(): String = words.getOrNull(readInt()) ?: throw IllegalArgumentException("no such word")
+        return MachineRoom(
+            name = MachineName(text()),
+            type = word(),
+            zone = word(),
+            spot = flag(),
+            usable = flag(),
+            worthKeeping = flag(),
+            idleMs = readLong(),
+            free = resources(),
+            yielding = items { if (flag()) resources() else Resources.ZERO },
+            images = items { ImageName(word()) },
+        )
+    }
 
     private fun Buffer.resources(value: Resources) {
         writeLong(value.cpus.toRawBits())
--- a/src/main/kotlin/copperglade/storage/Job.kt
+++ b/src/main/kotlin/copperglade/storage/Job.kt
@@ -11,22 +11,38 @@
 /** One task's standing assignment. */
 class Assignment(val task: Int, val block: BlockName, val baton: Baton, val generation: Int, val recalled: Boolean)
 
+/** A part of a packed record, and which record that is. */
+class Packed<T>(val value: T, val sheet: String, val bytes: Int)
+
 /** Everything the state service holds of one job that is not over. */
 class Job(val id: JobId) {
     var live: Stamped<LiveRecord>? = null
-    val pages = HashMap<Int, Stamped<AssignmentPage>>()
-    val works = HashMap<WorkPlace, Stamped<WorkRecord>>()
+    private val pageRecords = HashMap<Int, Packed<AssignmentPage>>()
+    private val workRecords = HashMap<WorkPlace, Packed<WorkRecord>>()
+
+    /** What is assigned and neither done nor given back, as worked out last; null after a change. */
+    private var standing: List<Assignment>? = null
 
     /** Tasks that are done. Only ever grows while the job is live. */
     val done = BitSet()
 
+    val pages: Map<Int, Packed<AssignmentPage>> get() = pageRecords
+    val works: Map<WorkPlace, Packed<WorkRecord>> get() = workRecords
     val spec: JobSpec? get() = live?.value?.spec
     val empty: Boolean get() = live == null && pages.isEmpty() && works.isEmpty()
-    val pageCount: Int get() = spec?.let { (it.tasks + Keys.PAGE_TASKS - 1) / Keys.PAGE_TASKS } ?: 0
     val complete: Boolean get() = spec?.let { it.tasks == done.cardinality() } ?: false
     val cancelled: Boolean get() = live?.value?.cancelled ?: false
 
-    fun rememberDone(record: WorkRecord) = done.or(record.done)
+    fun setPage(page: Int, record: Packed<AssignmentPage>?) {
+        standing = null
+        if (record == null) pageRecords.remove(page) else pageRecords[page] = record
+    }
+
+    fun setWork(place: WorkPlace, record: Packed<WorkRecord>?) {
+        standing = null
+        if (record == null) workRecords.remove(place) else workRecords[place] = record
+        record?.let { done.or(it.value.done) }
+    }
 
     /**
      * Done goes before cancelled: the mark of a cancellation changes the live record's stamp, which every write of
@@ -36,29 +52,34 @@
     fun status(): JobStatus = when {
         complete -> JobStatus.DONE
         cancelled -> JobStatus.CANCELLED
-        pages.isNotEmpty() && assignments().any() -> JobStatus.RUNNING
+        assignments().isNotEmpty() -> JobStatus.RUNNING
         else -> JobStatus.QUEUED
     }
 
-    /** What is assigned and neither done nor given back: all that may be on a machine. */
-    fun assignments(): Sequence<Assignment> = sequence {
-        for ((number, page) in pages) {
+    /**
+     * What is assigned and neither done nor given back: all that may be on a machine. Kept until a record changes:
+     * with hundreds of live jobs, the lead's rounds would do little else than work it out again.
+     */
+    fun assignments(): List<Assignment> = standing ?: workOut().also { standing = it }
+
+    private fun workOut(): List<Assignment> {
+        val found = ArrayList<Assignment>()
+        for ((number, page) in pageRecords) {
             for (group in page.value.groups) {
-                val returned = works[WorkPlace(number, group.block)]?.value?.returned?.get(group.generation)
+                val returned = workRecords[WorkPlace(number, group.block)]?.value?.returned?.get(group.generation)
                 var task = group.tasks.nextSetBit(0)
                 while (task >= 0) {
                     if (!done.get(task) && returned?.get(task) != true) {
-                        yield(
-                            Assignment(task, group.block, group.baton, group.generation, page.value.recalled.get(task)),
-                        )
+                        found += Assignment(task, group.block, group.baton, group.generation, page.value.recalled.get(task))
                     }
                     task = group.tasks.nextSetBit(task + 1)
                 }
             }
         }
+        return found
     }
 
-    fun restarted(task: Int): Boolean = works.any { (place, work) ->
+    fun restarted(task: Int): Boolean = workRecords.any { (place, work) ->
         place.page == task / Keys.PAGE_TASKS && work.value.restarted.get(task)
     }
 
--- a/src/main/kotlin/copperglade/storage/Records.kt
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -15,11 +15,13 @@
 import copperglade.protocol.MemberId
 import copperglade.protocol.ParsedJob
 import copperglade.protocol.Stamp
+import copperglade.protocol.TaskId
 import copperglade.protocol.array
 import copperglade.protocol.flag
 import copperglade.protocol.long
 import copperglade.protocol.obj
 import copperglade.protocol.text
+import java.io.IOException
 import java.util.BitSet
 
 /** A record as it stands in the state service. */
@@ -37,25 +39,43 @@
  */
 class AssignmentGroup(val block: BlockName, val baton: Baton, val generation: Int, val tasks: BitSet)
 
+/** A part of a packed record that says how often it was changed: what has the same number is the same. */
+interface Versioned {
+    val version: Int
+}
+
 /**
  * Where the tasks of one page of a job are; written by the lead alone.
  *
  * @property lastGeneration kept although its group may be gone: a generation used twice would take an old give-back
  * for that of a new assignment.
+ * @property frontier no task from here on has ever been assigned, so none can have been given back either.
  */
-class AssignmentPage(val groups: List<AssignmentGroup>, val recalled: BitSet, val lastGeneration: Int)
+class AssignmentPage(
+    val groups: List<AssignmentGroup>,
+    val recalled: BitSet,
+    val lastGeneration: Int,
+    val frontier: Int,
+    override val version: Int,
+) : Versioned {
+    companion object {
+        val EMPTY = AssignmentPage(emptyList(), BitSet(), 0, 0, 0)
+    }
+}
 
 /**
  * What became of a page's tasks in one block; written by the block's owner alone.
  *
  * @property returned by generation, the tasks that are surely on no machine of the block any more.
  */
-class WorkRecord(val done: BitSet, val returned: Map<Int, BitSet>, val restarted: BitSet) {
-    fun sameAs(other: WorkRecord): Boolean =
-        done == other.done && returned == other.returned && restarted == other.restarted
-
+class WorkRecord(
+    val done: BitSet,
+    val returned: Map<Int, BitSet>,
+    val restarted: BitSet,
+    override val version: Int,
+) : Versioned {
     companion object {
-        val EMPTY = WorkRecord(BitSet(), emptyMap(), BitSet())
+        val EMPTY = WorkRecord(BitSet(), emptyMap(), BitSet(), 0)
     }
 }
 
@@ -118,14 +138,19 @@
 
     fun live(job: JobId) = "${NOW}live/$job"
 
-    fun page(job: JobId, page: Int) = "${NOW}task/$job/$page"
+    /** The lead's sheets: each holds the assignments of several jobs' pages. */
+    const val SHEETS = "${NOW}task/"
 
-    fun work(job: JobId, page: Int, block: BlockName) = "${NOW}work/$job/$page/$block"
+    /** A block's sheets: each holds what became of several jobs' pages in that block. */
+    fun workSheets(block: BlockName) = "${NOW}work/$block/"
 
     fun block(name: BlockName) = "${NOW}block/$name"
 
     fun member(id: MemberId) = "${NOW}member/$id"
 
+    /** What a member would tell the lead of its room, while it can't reach it. */
+    fun room(id: MemberId) = "${NOW}room/$id"
+
     fun images(block: BlockName) = "${NOW}images/$block"
 
     fun over(job: JobId) = "$OVER$job"
@@ -137,14 +162,11 @@
         val parts = key.substring(NOW.length).split('/')
         return when (parts[0]) {
             "live" -> JobId.parse(parts[1])?.let { ParsedKey.Live(it) }
-            "task" -> JobId.parse(parts[1])?.let { ParsedKey.Page(it, parts[2].toInt()) }
-            "work" ->
-                JobId
-                    .parse(
-                        parts[1],
-                    )?.let { ParsedKey.Work(it, WorkPlace(parts[2].toInt(), BlockName(parts[3]))) }
+            "task" -> ParsedKey.Sheet
+            "work" -> ParsedKey.WorkSheet(BlockName(parts[1]))
             "block" -> ParsedKey.Block(BlockName(parts[1]))
             "images" -> ParsedKey.Images(BlockName(parts[1]))
+            "room" -> ParsedKey.Room(MemberId(parts[1]))
             "member" -> ParsedKey.Member(MemberId(parts[1]))
             else -> null
         }
@@ -154,14 +176,24 @@
 /** A page's tasks in a block. */
 data class WorkPlace(val page: Int, val block: BlockName)
 
+/** A page of a job, as a packed record names it: `job-000412/0`. */
+data class JobPage(val job: JobId, val page: Int) {
+    override fun toString() = "$job/$page"
+
+    companion object {
+        // A page is named like a task: job and number.
+        fun parse(text: String): JobPage? = TaskId.parse(text)?.let { JobPage(it.job, it.index) }
+    }
+}
+
 sealed interface ParsedKey {
     data object Lead : ParsedKey
 
     class Live(val job: JobId) : ParsedKey
 
-    class Page(val job: JobId, val page: Int) : ParsedKey
+    data object Sheet : ParsedKey
 
-    class Work(val job: JobId, val place: WorkPlace) : ParsedKey
+    class WorkSheet(val block: BlockName) : ParsedKey
 
     class Over(val job: JobId) : ParsedKey
 
@@ -170,6 +202,8 @@
     class Member(val id: MemberId) : ParsedKey
 
     class Images(val block: BlockName) : ParsedKey
+
+    class Room(val id: MemberId) : ParsedKey
 }
 
 /** Records as JSON values. Short names: small values, many of them. */
@@ -202,6 +236,8 @@
             }
             ranges("r", record.recalled)
             writeNumberField("n", record.lastGeneration)
+            writeNumberField("f", record.frontier)
+            version(record)
         }
     }
 
@@ -214,7 +250,7 @@
                 Ranges.parse(it[3].asText()),
             )
         }
-        return AssignmentPage(groups, node.ranges("r"), node.get("n").asInt())
+        return AssignmentPage(groups, node.ranges("r"), node.get("n").asInt(), node.get("f").asInt(), versionOf(node))
     }
 
     fun encode(record: WorkRecord): ByteArray = Json.write {
@@ -224,6 +260,7 @@
                 obj("b") { record.returned.forEach { (generation, tasks) -> ranges(generation.toString(), tasks) } }
             }
             ranges("x", record.restarted)
+            version(record)
         }
     }
 
@@ -233,9 +270,23 @@
             returned[generation.toInt()] =
                 Ranges.parse(tasks.asText())
         }
-        return WorkRecord(node.ranges("d"), returned, node.ranges("x"))
+        return WorkRecord(node.ranges("d"), returned, node.ranges("x"), versionOf(node))
+    }
+
+    /** A packed record: its parts under the pages' names, as they were encoded. */
+    fun encodeSheet(parts: Map<JobPage, ByteArray>): ByteArray = Json.write {
+        obj {
+            for ((place, part) in parts) {
+                writeFieldName(place.toString())
+                writeRawValue(part.decodeToString())
+            }
+        }
     }
 
+    fun versionOf(node: JsonNode): Int = node.get("v").asInt()
+
+    private fun JsonGenerator.version(record: Versioned) = writeNumberField("v", record.version)
+
     fun encode(record: EndRecord): ByteArray = Json.write {
         obj {
             writeStringField("status", record.status.name)
@@ -279,6 +330,15 @@
 
     fun decodeMember(node: JsonNode): MemberRecord? = node.long("inc")?.let { MemberRecord(Incarnation(it)) }
 
+    /** A note between controllers, as it would have been sent. */
+    fun encodeNote(note: ByteArray): ByteArray = Json.write { obj { writeBinaryField("note", note) } }
+
+    fun decodeNote(node: JsonNode): ByteArray? = try {
+        node.get("note")?.binaryValue()
+    } catch (_: IOException) {
+        null
+    }
+
     private fun holder(member: MemberId, incarnation: Incarnation): ByteArray = Json.write {
         obj {
             writeStringField("member", member.text)
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -9,6 +9,7 @@
 import copperglade.protocol.Stamp
 import copperglade.transport.EventLoop
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -16,8 +17,14 @@
 class Touched {
     val jobs = HashSet<JobId>()
     var standing = false
+
+    /** Notes that came through the state service. */
+    val notes = ArrayList<ByteArray>()
 }
 
+/** A packed record: its stamp, and which pages it tells of. */
+class Sheet(val stamp: Stamp, val places: Set<JobPage>)
+
 fun interface ReplicaListener {
     fun changed(touched: Touched)
 }
@@ -28,7 +35,9 @@
  * A copy of the live records, kept up by one watch. The watch is reopened at a pace, since every opening costs a
  * request; whoever must not answer from the past asks for [fresh] first, and many such questions share one request.
  */
-class Replica(private val loop: EventLoop, private val store: StateClient) {
+class Replica(private val loop: EventLoop, private val store: StateClient, readers: Int = 1) {
+    /** All readers together take at most half of the service's requests. */
+    private val pace = maxOf(SHORTEST_PACE, (readers / (store.limits.requestsPerS * READING_SHARE)).seconds)
     val jobs = HashMap<JobId, Job>()
     val blocks = HashMap<BlockName, Stamped<BlockRecord>>()
     val members = HashMap<MemberId, Stamped<MemberRecord>>()
@@ -42,9 +51,14 @@
     /** Stamps of keys that are not there: a late event must not bring them back. */
     private val dropped = HashMap<String, Stamp>()
     private val listeners = ArrayList<ReplicaListener>()
+    private val sheetRecords = HashMap<String, Sheet>()
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var pulling = false
-    private var lastPull = Moment.NEVER
+    private var watching = false
+    private var lastReading = Moment.NEVER
+
+    /** The packed records, by key. */
+    val sheets: Map<String, Sheet> get() = sheetRecords
 
     var state = ReplicaState.LOADING
         private set
@@ -104,22 +118,42 @@
         blocks.clear()
         members.clear()
         images.clear()
+        sheetRecords.clear()
         lead = null
         dropped.clear()
     }
 
+    /**
+     * Reopens the watch. Whoever has asked for a fresh reading meanwhile is served by the same request, which then
+     * doesn't wait: while changes come all the time, watch and readings would take twice the requests.
+     */
     private fun watch() {
         if (state != ReplicaState.CURRENT) return
-        store.changes(Keys.ROOT, cursor, WATCH_WAIT) { outcome ->
-            take(outcome)
+        watching = true
+        val asked = if (pulling) emptyList() else takeWaiting()
+        read(asked, if (asked.isEmpty()) WATCH_WAIT else 0.seconds) { outcome ->
+            watching = false
             when (outcome) {
-                is ChangesOutcome.Got -> loop.after(WATCH_PACE) { watch() }
+                is ChangesOutcome.Got -> loop.after(pace) { watch() }
                 ChangesOutcome.Failed -> loop.after(RETRY) { watch() }
                 ChangesOutcome.TooOld -> reload()
             }
         }
     }
 
+    private fun takeWaiting(): List<(Boolean) -> Unit> = waiting.also { waiting = ArrayList() }
+
+    private fun read(asked: List<(Boolean) -> Unit>, wait: Duration, after: (ChangesOutcome) -> Unit) {
+        val sent = loop.now()
+        lastReading = sent
+        store.changes(Keys.ROOT, cursor, wait) { outcome ->
+            take(outcome)
+            if (outcome is ChangesOutcome.Got && sent > asOf) asOf = sent
+            after(outcome)
+            asked.forEach { it(outcome is ChangesOutcome.Got && state == ReplicaState.CURRENT) }
+        }
+    }
+
     private fun reload() {
         if (state == ReplicaState.LOADING) return
         moveTo(ReplicaState.LOADING, "the service no longer has the changes since $cursor")
@@ -136,25 +170,17 @@
         pullIfAsked()
     }
 
+    /** Asks beside the open watch; where the watch is about to be reopened, that will do. */
     private fun pullIfAsked() {
-        if (pulling || waiting.isEmpty() || state != ReplicaState.CURRENT) return
-        val pause = PULL_PACE.inWholeMilliseconds - (loop.now().ms - lastPull.ms)
+        if (pulling || !watching || waiting.isEmpty() || state != ReplicaState.CURRENT) return
         pulling = true
+        val pause = pace.inWholeMilliseconds - (loop.now().ms - lastReading.ms)
         if (pause > 0) loop.after(pause.milliseconds) { pull() } else pull()
     }
 
-    private fun pull() {
-        val sent = loop.now()
-        lastPull = sent
-        val asked = waiting
-        waiting = ArrayList()
-        store.changes(Keys.ROOT, cursor, 0.seconds) { outcome ->
-            pulling = false
-            take(outcome)
-            if (outcome is ChangesOutcome.Got) asOf = sent
-            asked.forEach { it(outcome is ChangesOutcome.Got && state == ReplicaState.CURRENT) }
-            pullIfAsked()
-        }
+    private fun pull() = read(takeWaiting(), 0.seconds) {
+        pulling = false
+        pullIfAsked()
     }
 
     private fun take(outcome: ChangesOutcome) {
@@ -185,7 +211,7 @@
     }
 
     private fun announce(touched: Touched) {
-        if (touched.jobs.isEmpty() && !touched.standing) return
+        if (touched.jobs.isEmpty() && !touched.standing && touched.notes.isEmpty()) return
         listeners.forEach { it.changed(touched) }
     }
 
@@ -197,21 +223,8 @@
                 val job = job(parsed.job, touched)
                 if (stamp > job.liveStamp()) RecordCodec.decodeLive(value)?.let { job.live = Stamped(it, stamp) }
             }
-            is ParsedKey.Page -> {
-                val job = job(parsed.job, touched)
-                if (newer(stamp, job.pages[parsed.page])) {
-                    job.pages[parsed.page] =
-                        Stamped(RecordCodec.decodePage(value), stamp)
-                }
-            }
-            is ParsedKey.Work -> {
-                val job = job(parsed.job, touched)
-                if (newer(stamp, job.works[parsed.place])) {
-                    val record = RecordCodec.decodeWork(value)
-                    job.works[parsed.place] = Stamped(record, stamp)
-                    job.rememberDone(record)
-                }
-            }
+            ParsedKey.Sheet -> putSheet(key, value, stamp, Pages, touched)
+            is ParsedKey.WorkSheet -> putSheet(key, value, stamp, Works(parsed.block), touched)
             is ParsedKey.Over -> RecordCodec.decodeEnd(value)?.let { over[parsed.job] = it }
             is ParsedKey.Block -> if (newer(stamp, blocks[parsed.name])) {
                 touched.standing = true
@@ -224,6 +237,7 @@
             is ParsedKey.Images -> if (newer(stamp, images[parsed.block])) {
                 images[parsed.block] = Stamped(RecordCodec.decodeImages(value), stamp)
             }
+            is ParsedKey.Room -> RecordCodec.decodeNote(value)?.let { touched.notes += it }
             ParsedKey.Lead -> if (newer(stamp, lead)) {
                 touched.standing = true
                 RecordCodec.decodeLead(value)?.let { lead = Stamped(it, stamp) }
@@ -234,14 +248,10 @@
     private fun drop(key: String, stamp: Stamp, touched: Touched) {
         if (stamp > cursor) dropped[key] = stamp
         when (val parsed = Keys.parse(key)) {
-            null, is ParsedKey.Over -> return
+            null, is ParsedKey.Over, is ParsedKey.Room -> return
             is ParsedKey.Live -> editJob(parsed.job, touched) { if (older(it.live, stamp)) it.live = null }
-            is ParsedKey.Page -> editJob(parsed.job, touched) {
-                if (older(it.pages[parsed.page], stamp)) it.pages.remove(parsed.page)
-            }
-            is ParsedKey.Work -> editJob(parsed.job, touched) {
-                if (older(it.works[parsed.place], stamp)) it.works.remove(parsed.place)
-            }
+            ParsedKey.Sheet -> dropSheet(key, stamp, Pages, touched)
+            is ParsedKey.WorkSheet -> dropSheet(key, stamp, Works(parsed.block), touched)
             is ParsedKey.Block -> if (older(blocks[parsed.name], stamp)) {
                 touched.standing = true
                 blocks.remove(parsed.name)
@@ -258,6 +268,60 @@
         }
     }
 
+    /** How the parts of one sort of packed record are kept with their jobs. */
+    private interface Parts {
+        fun present(job: Job, page: Int): Packed<out Versioned>?
+
+        fun set(job: Job, page: Int, value: JsonNode, sheet: String)
+
+        fun remove(job: Job, page: Int)
+    }
+
+    private object Pages : Parts {
+        override fun present(job: Job, page: Int) = job.pages[page]
+
+        override fun set(job: Job, page: Int, value: JsonNode, sheet: String) =
+            job.setPage(page, Packed(RecordCodec.decodePage(value), sheet, Json.bytesOf(value).size))
+
+        override fun remove(job: Job, page: Int) = job.setPage(page, null)
+    }
+
+    private class Works(private val block: BlockName) : Parts {
+        override fun present(job: Job, page: Int) = job.works[WorkPlace(page, block)]
+
+        override fun set(job: Job, page: Int, value: JsonNode, sheet: String) =
+            job.setWork(WorkPlace(page, block), Packed(RecordCodec.decodeWork(value), sheet, Json.bytesOf(value).size))
+
+        override fun remove(job: Job, page: Int) = job.setWork(WorkPlace(page, block), null)
+    }
+
+    /** Only what has changed in a packed record is read, and counts as touched. */
+    private fun putSheet(key: String, value: JsonNode, stamp: Stamp, parts: Parts, touched: Touched) {
+        val before = sheetRecords[key]
+        if (before != null && before.stamp >= stamp) return
+        val places = HashSet<JobPage>()
+        for ((name, part) in value.properties()) {
+            val place = JobPage.parse(name) ?: continue
+            places += place
+            val known = jobs[place.job]?.let { parts.present(it, place.page) }
+            if (known?.sheet == key && known.value.version == RecordCodec.versionOf(part)) continue
+            parts.set(job(place.job, touched), place.page, part, key)
+        }
+        before?.places?.forEach { if (it !in places) removePart(key, it, parts, touched) }
+        sheetRecords[key] = Sheet(stamp, places)
+    }
+
+    private fun dropSheet(key: String, stamp: Stamp, parts: Parts, touched: Touched) {
+        val before = sheetRecords[key]?.takeIf { it.stamp < stamp } ?: return
+        before.places.forEach { removePart(key, it, parts, touched) }
+        sheetRecords.remove(key)
+    }
+
+    /** A part that has moved to another record meanwhile stays. */
+    private fun removePart(key: String, place: JobPage, parts: Parts, touched: Touched) = editJob(place.job, touched) {
+        if (parts.present(it, place.page)?.sheet == key) parts.remove(it, place.page)
+    }
+
     private fun job(id: JobId, touched: Touched): Job {
         touched.jobs += id
         return jobs.getOrPut(id) { Job(id) }
@@ -289,8 +353,8 @@
         private val RETRY = 250.milliseconds
         private val WATCH_WAIT = 10.seconds
         private val QUIET = 1500.milliseconds
-        private val WATCH_PACE = 50.milliseconds
-        private val PULL_PACE = 60.milliseconds
+        private const val READING_SHARE = 0.5
+        private val SHORTEST_PACE = 50.milliseconds
         private val log = LoggerFactory.getLogger("replica")
     }
 }
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -93,7 +93,14 @@
 }
 
 /** Limits of the state service, as the platform's settings give them. */
-class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueKb: Double, val transactionWrites: Int)
+class StateLimits(val requestsPerS: Double, val writesPerS: Double, val valueKb: Double, val transactionWrites: Int) {
+    /** The protocol allows four conditions for each write that a transaction may have. */
+    val transactionConditions get() = transactionWrites * CONDITIONS_A_WRITE
+
+    private companion object {
+        const val CONDITIONS_A_WRITE = 4
+    }
+}
 
 /**
  * The state service as this controller may use it: within its share of the budgets that all controllers have together.
@@ -104,12 +111,14 @@
     private val http: HttpCaller,
     private val endpoint: Endpoint,
     val limits: StateLimits,
+    firstShare: Double = 1.0,
 ) {
     private class Queued(val transaction: Transaction, val done: (TransactionOutcome) -> Unit)
 
     private val queues = Urgency.entries.associateWith { ArrayDeque<Queued>() }
-    private val requests = TokenBucket(limits.requestsPerS * INITIAL_SHARE, BURST_S, loop.now())
-    private val writes = TokenBucket(limits.writesPerS * INITIAL_SHARE, BURST_S, loop.now())
+    private val requests = TokenBucket(limits.requestsPerS * firstShare, BURST_S, loop.now())
+    private val writes = TokenBucket(limits.writesPerS * firstShare, BURST_S, loop.now())
+    private val demand = RecentRate(DEMAND_S)
     private var inFlight = 0
     private var draining = false
 
@@ -117,12 +126,15 @@
     var lastGood: Moment = Moment.NEVER
         private set
 
-    /** Sets this controller's part of the budgets. */
-    fun setShare(share: Double) {
-        requests.setRate(limits.requestsPerS * share, loop.now())
-        writes.setRate(limits.writesPerS * share, loop.now())
+    /** Sets this controller's parts of the budgets. */
+    fun setShares(ofRequests: Double, ofWrites: Double) {
+        requests.setRate(limits.requestsPerS * ofRequests, loop.now())
+        writes.setRate(limits.writesPerS * ofWrites, loop.now())
     }
 
+    /** Changes a second that there have been to make lately, those still waiting included. */
+    val writesWanted: Double get() = demand.rate(loop.now()) + queues.values.sumOf { it.size } / DEMAND_S
+
     /** How much of the write budget is left, from 0 to 1: batches widen as it shrinks. */
     fun writeLevel(): Double = writes.level(loop.now())
 
@@ -135,6 +147,9 @@
         return writes.available(loop.now()) - ahead
     }
 
+    /** So much of the budget less urgent assignments leave to urgent ones. */
+    val keptForUrgent: Int get() = (writes.capacity * KEPT_FOR_URGENT).toInt()
+
     /** Whether a further transaction of a user would have to wait for long. */
     fun crowded(): Boolean = queues.getValue(Urgency.USER).size >= MOST_QUEUED
 
@@ -144,6 +159,7 @@
             done(TransactionOutcome.Refused)
             return
         }
+        demand.add(transaction.writes.size, loop.now())
         queue.addLast(Queued(transaction, done))
         drain()
     }
@@ -341,8 +357,9 @@
         private const val GONE = 410
         private const val TOO_MANY = 429
         private const val UNAVAILABLE = 503
-        private const val INITIAL_SHARE = 0.3
         private const val BURST_S = 0.8
+        private const val DEMAND_S = 2.0
+        private const val KEPT_FOR_URGENT = 0.2
         private const val LIST_LIMIT = 1000
         private const val MOST_QUEUED = 400
         private const val MOST_IN_FLIGHT = 12
--- a/src/main/kotlin/copperglade/storage/TokenBucket.kt
+++ b/src/main/kotlin/copperglade/storage/TokenBucket.kt
@@ -2,6 +2,7 @@
 
 import copperglade.protocol.Moment
 import copperglade.protocol.secondsSince
+import kotlin.math.exp
 import kotlin.math.min
 
 /** A budget of so many per second, with a burst of [burstS] seconds' worth. */
@@ -38,6 +39,9 @@
         return tokens.toInt().coerceAtLeast(0)
     }
 
+    /** The most that it ever holds. */
+    val capacity: Double get() = perSecond * burstS
+
     /** How full the bucket is, from 0 to 1. */
     fun level(now: Moment): Double {
         refill(now)
@@ -53,3 +57,37 @@
         at = now
     }
 }
+
+/** How often something has happened a second, fading over about [overS] seconds. */
+class RecentRate(private val overS: Double) {
+    private var sum = 0.0
+    private var at = Moment.NEVER
+
+    fun add(count: Int, now: Moment) {
+        fade(now)
+        sum += count
+    }
+
+    fun rate(now: Moment): Double {
+        fade(now)
+        return sum / overS
+    }
+
+    private fun fade(now: Moment) {
+        sum *= exp(-now.secondsSince(at).coerceAtLeast(0.0) / overS)
+        at = now
+    }
+}
+
+/** How controllers share a budget by what each has said it wants. */
+object BudgetShare {
+    /** This part is dealt out evenly, so that whoever begins to write has something to begin with. */
+    private const val EVENLY = 0.4
+
+    /** A controller's part, from 0 to 1; [others] holds null for one that has not been heard: it may want as much. */
+    fun of(wanted: Double, others: List<Double?>, budget: Double): Double {
+        val floor = budget * EVENLY / (others.size + 1)
+        val sum = wanted + floor + others.sumOf { (it ?: wanted) + floor }
+        return (wanted + floor) / sum
+    }
+}
--- a/src/test/kotlin/copperglade/coordination/DeadlinePlanTest.kt
+++ b/src/test/kotlin/copperglade/coordination/DeadlinePlanTest.kt
@@ -1,6 +1,9 @@
 package copperglade.coordination
 
+import copperglade.protocol.TeamName
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.Random
 
@@ -31,7 +34,7 @@
         val random = Random(9)
         repeat(60) {
             val jobs = List(6) { PlannedJob(it, 1.0 + random.nextInt(9), listOf(2.0 + random.nextInt(25))) }
-            val planned = DeadlinePlan.order(jobs, 1.0).map { jobs[it] }
+            val planned = DeadlinePlan(1.0).order(jobs).map { jobs[it] }
             assertEquals(permutations(jobs).maxOf(::inTime), inTime(planned))
         }
     }
@@ -43,6 +46,97 @@
             PlannedJob("second chance", 10.0, listOf(5.0, 20.0)),
             PlannedJob("in time", 4.0, listOf(5.0, 10.0)),
         )
-        assertEquals(listOf("in time", "second chance", "hopeless"), DeadlinePlan.order(jobs, 1.0))
+        assertEquals(listOf("in time", "second chance", "hopeless"), DeadlinePlan(1.0).order(jobs))
+    }
+
+    @Test
+    fun `a team at its limit is planned within it`() {
+        val team = TeamName("small")
+        val jobs = listOf(
+            PlannedJob("large", 100.0, listOf(10.5), team = team),
+            PlannedJob("first", 10.0, listOf(10.8), team = team),
+            PlannedJob("second", 10.0, listOf(12.0), team = team),
+            PlannedJob("other", 100.0, listOf(30.0), team = TeamName("other")),
+        )
+        // With all 100 CPUs everything would be in time; with the team's 10, "large" would make the rest late.
+        val order = DeadlinePlan(100.0) { if (it == team) 10.0 else 100.0 }.order(jobs)
+        assertEquals(listOf("first", "second", "other", "large"), order)
+    }
+
+    /**
+     * A pool that gets half as much again as it can do, for ever: arrays of two classes and three teams, one in ten of
+     * them ten times as large. Whoever waits gets CPUs in the plan's order, turns first.
+     */
+    private class Overload(private val turns: Turns, seed: Long) {
+        class Arrival(val atS: Double, val cls: Int, val team: Int, val large: Boolean, val cpus: Int, val runS: Double) {
+            var left = cpus
+            var begunAt: Double? = null
+            var doneAt: Double? = null
+            val running = ArrayList<Double>()
+        }
+
+        private val random = Random(seed)
+        val jobs = ArrayList<Arrival>()
+
+        fun run(forS: Int) = repeat(forS) { second ->
+            val now = second.toDouble()
+            if (random.nextDouble() < RATE) {
+                val large = random.nextInt(10) == 0
+                val cls = random.nextInt(2)
+                jobs += Arrival(now, cls, if (large) 2 else random.nextInt(3), large, if (large) 300 else 30, 10.0 + 10.0 * cls)
+            }
+            jobs.forEach { job ->
+                job.running.removeIf { it <= now }
+                if (job.left == 0 && job.running.isEmpty() && job.doneAt == null) job.doneAt = now
+            }
+            var free = POOL - jobs.sumOf { it.running.size }
+
+            fun start(job: Arrival, most: Int) {
+                val count = minOf(most, job.left, free)
+                if (count <= 0) return
+                job.begunAt = job.begunAt ?: now
+                repeat(count) { job.running += now + job.runS }
+                job.left -= count
+                free -= count
+            }
+            val waiting = jobs.filter { it.left > 0 }
+            val due = { job: Arrival -> listOf(40.0 + job.atS - now).filter { it > job.runS } }
+            turns
+                .of(
+                    waiting.map {
+                        LongWaiting(it, now - it.atS, 1.0, it.running.size.toDouble(), it.begunAt != null, due(it).isNotEmpty())
+                    },
+                    POOL.toDouble(),
+                ).forEach { (job, tasks) -> start(job, tasks) }
+            val planned = waiting.map { PlannedJob(it, it.left * it.runS, due(it), now - it.atS) }
+            DeadlinePlan(POOL.toDouble()).order(planned).forEach { start(it, it.left) }
+        }
+
+        private companion object {
+            const val POOL = 400
+            const val RATE = 0.7
+        }
+    }
+
+    private fun servedAtLeastHalf(overload: Overload): Boolean {
+        val settled = overload.jobs.filter { it.atS < 2000 }
+        val groups =
+            settled.groupBy { "class ${it.cls}" } + settled.groupBy { "team ${it.team}" } +
+                settled.filter { it.large }.groupBy { "large ${it.cls}" }
+        return groups.values.all { group -> group.count { it.doneAt != null } * 2 >= group.size }
+    }
+
+    @Test
+    fun `in an overload that never ends every class, team and size is served, and the largest begin in time`() {
+        val overload = Overload(Turns(60.0, 0.15), 3).apply { run(2600) }
+        assertTrue(servedAtLeastHalf(overload))
+        val late = overload.jobs.filter { it.atS < 2300 && (it.begunAt ?: Double.MAX_VALUE) - it.atS > 240 }
+        assertEquals(emptyList<Double>(), late.map { it.atS })
+    }
+
+    @Test
+    fun `without turns the largest jobs would starve`() {
+        val overload = Overload(Turns(1e9, 1e-9), 3).apply { run(2600) }
+        assertFalse(servedAtLeastHalf(overload))
     }
 }
--- a/src/test/kotlin/copperglade/protocol/WireTest.kt
+++ b/src/test/kotlin/copperglade/protocol/WireTest.kt
@@ -70,6 +70,7 @@
             "z",
             spot = true,
             usable = true,
+            worthKeeping = true,
             idleMs = 5,
             free = Resources(1.0, 2.0, 3.0),
             yielding = listOf(Resources.ZERO, Resources(4.0, 0.0, 1.0)),
@@ -84,6 +85,7 @@
             listOf(BlockRoom(BlockName("z.0"), Baton(4), listOf(room))),
             listOf(BlockName("z.1")),
             listOf(MachineName("i-2")),
+            writesWanted = 12.5,
         )
         val bytes = PeerWire.encode(note)
         val again = PeerWire.decode(bytes)!!
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
@@ -0,0 +1,251 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** The rules that came with the growth of the deployments, each also with its guard broken and seen by the referee. */
+class AddedRulesTest {
+    private fun arrays(site: SimSite, jobs: Int, tasks: Int = 6, workS: Double = 8.0) = repeat(jobs) { number ->
+        site.sim.after(number * 3000.0) { site.submit(SimSite.job(number + 1, tasks = tasks)) { workS } }
+    }
+
+    private fun services(site: SimSite, jobs: Int, tasks: Int = 4) = repeat(jobs) { number ->
+        site.submit(SimSite.job(500 + number, tasks = tasks, service = true, spot = false)) { null }
+    }
+
+    private fun assertKept(site: SimSite) {
+        site.heal()
+        site.run(120.0)
+        site.checkForgotten()
+        assertEquals(emptyList<String>(), site.breaches)
+        val unfinished = site.users.values
+            .filter { it.work(0) != null && !it.finished }
+            .map { it.spec.id }
+        assertEquals(emptyList<JobId>(), unfinished, "jobs that never ended")
+    }
+
+    private fun sees(site: SimSite, rule: String) =
+        assertTrue(site.breaches.any { it.startsWith(rule) }, "not seen: ${site.breaches}")
+
+    // ---- nothing forgotten ----
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 3, 5])
+    fun `every job is answered soon after all controllers were down, whatever their number`(nodes: Int) {
+        val site = SimSite(Simulation(31), nodes = nodes, machinesPerZone = 2)
+        repeat(600) { number -> site.sim.after(number * 40.0) { site.submit(SimSite.job(number + 1, tasks = 1)) { 2000.0 } } }
+        site.run(60.0)
+        assertEquals(600, site.users.values.count { it.accepted })
+        (0 until nodes).forEach { site.crash(it, 3000.0) }
+        site.run(3.0)
+        val began = site.sim.nowMs
+        site.run(15.0)
+        assertEquals(
+            emptyList<JobId>(),
+            site.users.values
+                .filter { it.answeredAt < began }
+                .map { it.spec.id },
+        )
+        assertEquals(emptyList<String>(), site.breaches)
+    }
+
+    @Test
+    fun `the referee sees a single job that gets no answer among many that do`() {
+        val site = SimSite(Simulation(32))
+        arrays(site, 8)
+        site.run(40.0)
+        site.network.swallows = { it.path == "/submissions/job-3" }
+        site.run(90.0)
+        site.checkForgotten()
+        assertEquals(listOf("job-3 gets no answer"), site.breaches.map { it.substringAfter(": ") })
+    }
+
+    // ---- reports arrive, answers don't ----
+
+    @ParameterizedTest
+    @ValueSource(longs = [41, 42, 43, 44])
+    fun `a machine that hears nothing loses its work and is replaced, once`(seed: Long) {
+        val site = SimSite(Simulation(seed), machinesPerZone = 6)
+        services(site, 6)
+        arrays(site, 10)
+        site.run(30.0)
+        val before = site.machinesRented
+        val deaf = site.muffleMachine(seed.toInt() % 3)!!
+        site.run(SimSite.LEASE_S + 12.0)
+        // Its tasks run elsewhere by now, and nothing new was put there.
+        assertEquals(
+            emptyList<Any>(),
+            site
+                .runningTasks()
+                .filterValues { it.name == deaf }
+                .keys
+                .toList(),
+        )
+        assertEquals(24, site.runningTasks().keys.count { it.job.text.length == 7 })
+        site.run(60.0)
+        assertTrue(deaf !in site.workerNames(), "$deaf was not returned")
+        assertTrue(site.machinesRented - before <= 8, "${site.machinesRented - before} machines rented for one")
+        assertKept(site)
+    }
+
+    @Test
+    fun `the referee sees work moved off a muffled machine before its lease has run out`() {
+        val site = SimSite(Simulation(45), toldLeaseS = 3.0)
+        services(site, 3)
+        site.run(25.0)
+        // Only its reports to the owner get through at first, then nothing: the reckoned lease is all there is.
+        site.muffleMachine(0)
+        site.cutMachine(0)
+        site.run(9.0)
+        sees(site, "ran_twice")
+    }
+
+    // ---- late copies ----
+
+    @ParameterizedTest
+    @ValueSource(longs = [51, 52, 53, 54, 55, 56])
+    fun `late copies of reports change nothing`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        site.network.copyOneIn = 3
+        services(site, 4)
+        arrays(site, 14)
+        repeat(6) {
+            site.sim.after(15_000.0 + site.sim.random.nextInt(60_000)) {
+                when (site.sim.random.nextInt(5)) {
+                    0 -> site.crash(site.sim.random.nextInt(site.nodes), 200.0)
+                    1 -> site.killMachine(site.sim.random.nextInt(4))
+                    2 -> site.rebootMachine(site.sim.random.nextInt(4))
+                    3 -> site.cutMachine(site.sim.random.nextInt(4)).also { site.sim.after(15_000.0) { site.heal() } }
+                    else -> site.cutController(site.sim.random.nextInt(site.nodes)).also { site.sim.after(9_000.0) { site.heal() } }
+                }
+            }
+        }
+        site.run(100.0)
+        assertKept(site)
+    }
+
+    @Test
+    fun `the referee sees what copies would do if their numbers did not tell them`() {
+        val site = SimSite(Simulation(57))
+        site.network.copyOneIn = 2
+        site.network.forge = { body ->
+            body
+                .decodeToString()
+                .replace(Regex("\"tally\":[0-9]+"), "\"tally\":999999")
+                .replace("\"status\":\"running\"", "\"status\":\"ended\",\"cause\":\"done\"")
+                .encodeToByteArray()
+        }
+        services(site, 4)
+        arrays(site, 14)
+        site.run(120.0)
+        sees(site, "not_done")
+    }
+
+    // ---- without state service and peers, but with workers ----
+
+    @ParameterizedTest
+    @ValueSource(longs = [61, 62, 63])
+    fun `a controller left with nothing but its workers sends them on before their leases run out`(seed: Long) {
+        val site = SimSite(Simulation(seed), nodes = 5)
+        services(site, 5)
+        site.run(30.0)
+        val running = site.runningTasks().mapValues { it.value.name }
+        assertEquals(20, running.size)
+        val node = site.ownerOf(site.workerNames().first())
+        site.isolateController(node)
+        site.run(25.0)
+        assertEquals(running, site.runningTasks().mapValues { it.value.name })
+        assertTrue(site.workerNames().none { site.ownerOf(it) == node })
+        assertKept(site)
+    }
+
+    @Test
+    fun `the referee sees an isolated controller whose clock lets it act for too long`() {
+        // Far beyond the drift that the protocol allows, so that the hold is reckoned to live on.
+        val site = SimSite(Simulation(64))
+        services(site, 5)
+        site.run(40.0)
+        val node = site.ownerOf(
+            site
+                .runningTasks()
+                .values
+                .first()
+                .name,
+        )
+        site.slowClock(node, 0.1)
+        site
+            .workerNames()
+            .indices
+            .filter { site.ownerOf(site.workerNames()[it]) == node }
+            .forEach { site.cutMachineFromOthers(it, node) }
+        site.isolateController(node)
+        site.run(60.0)
+        sees(site, "ran_twice")
+    }
+
+    // ---- back in a fraction of a second ----
+
+    @ParameterizedTest
+    @ValueSource(longs = [71, 72, 73, 74, 75, 76])
+    fun `processes and machines that are back at once break nothing`(seed: Long) {
+        val site = SimSite(Simulation(seed), nodes = if (seed % 2 == 0L) 5 else 3)
+        val random = site.sim.random
+        services(site, 4)
+        arrays(site, 14)
+        repeat(5) {
+            site.sim.after(12_000.0 + random.nextInt(60_000)) {
+                when (random.nextInt(4)) {
+                    // All together, and some of them once more in the middle of the election.
+                    0 -> (0 until site.nodes).forEach { node ->
+                        site.crash(node, 100.0 + random.nextInt(300))
+                        if (random.nextBoolean()) site.sim.after(500.0 + random.nextInt(800)) { site.crash(node, 150.0) }
+                    }
+                    1 -> site.rebootMachine(random.nextInt(4))
+                    2 -> {
+                        // Its last transactions arrive after its successor's first.
+                        val node = random.nextInt(site.nodes)
+                        site.cutController(node, "state")
+                        site.sim.after(400.0) { site.crash(node, 200.0) }
+                        site.sim.after(900.0) { site.heal() }
+                    }
+                    else -> site.crash(random.nextInt(site.nodes), 150.0)
+                }
+            }
+        }
+        site.run(90.0)
+        assertKept(site)
+    }
+
+    @Test
+    fun `the referee sees a machine that was given up although it was back at once`() {
+        val site = SimSite(Simulation(77), toldLeaseS = 2.0)
+        services(site, 4)
+        site.run(30.0)
+        val busy = site.workerNames().indexOf(
+            site
+                .runningTasks()
+                .values
+                .first()
+                .name,
+        )
+        (0 until site.nodes).forEach { site.crash(it, 100.0) }
+        site.cutMachine(busy)
+        site.run(9.0)
+        sees(site, "ran_twice")
+    }
+
+    @Test
+    fun `assignments go on while controllers refuse each other`() {
+        val site = SimSite(Simulation(81), nodes = 5)
+        site.run(20.0)
+        site.cutPeers()
+        arrays(site, 6)
+        site.run(60.0)
+        assertTrue(site.completions >= 30, "${site.completions} tasks done without the peer link")
+        assertKept(site)
+    }
+}
--- a/src/test/kotlin/copperglade/sim/RulesTest.kt
+++ b/src/test/kotlin/copperglade/sim/RulesTest.kt
@@ -40,6 +40,7 @@
         site.heal()
         site.state.outage = false
         site.run(180.0)
+        site.checkForgotten()
         assertEquals(emptyList<String>(), site.breaches)
         assertTrue(site.starts > 0, "nothing ran")
         val unfinished = site.users.values
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -39,8 +39,9 @@
     /** The lease that the controllers are told; another than the workers' own only to see the referee at work. */
     private val toldLeaseS: Double = LEASE_S,
     private val toldCpusMax: Double = teamCpus,
+    val nodes: Int = 3,
 ) : World {
-    private val network = SimNetwork(sim)
+    val network = SimNetwork(sim)
     private val worldLoop = SimLoop(sim)
     val state = StandInState(worldLoop)
     private val controllers = HashMap<Int, Pair<Controller, SimLoop>>()
@@ -67,6 +68,7 @@
         var told = "unknown"
         var cancelAskedAt: Double? = null
         var cancelledAt: Double? = null
+        var answeredAt = 0.0
         val doneTasks = HashSet<Int>()
         val finished get() = told == "done" || told == "aborted"
     }
@@ -74,7 +76,7 @@
     init {
         network.listen(STATE, "state", worldLoop, state)
         network.listen(CLOUD, "cloud", worldLoop, cloud)
-        repeat(NODES) { startController(it) }
+        repeat(nodes) { startController(it) }
     }
 
     // ---- processes ----
@@ -90,7 +92,7 @@
         zone = ZONES[node % 2],
         clientListen = client(node),
         clusterListen = cluster(node),
-        peers = (0 until NODES).filter { it != node }.map { Peer(MemberId(name(it)), ZONES[it % 2], cluster(it)) },
+        peers = (0 until nodes).filter { it != node }.map { Peer(MemberId(name(it)), ZONES[it % 2], cluster(it)) },
         cloud = CLOUD,
         state = STATE,
         zones = ZONES,
@@ -110,7 +112,7 @@
 
     fun startController(node: Int) {
         if (controllers[node]?.second?.alive == true) return
-        val loop = SimLoop(sim, drift = node * 0.00025)
+        val loop = SimLoop(sim, drift = node * DRIFT)
         val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), tuning)
         controllers[node] = controller to loop
         network.listen(client(node), name(node), loop, controller.clientHandler)
@@ -128,16 +130,58 @@
         if (from != "workers") network.cut(name(node), "state")
         if (from == "all") {
             network.cut(name(node), "cloud")
-            (0 until NODES).filter { it != node }.forEach { network.cut(name(node), name(it)) }
+            (0 until nodes).filter { it != node }.forEach { network.cut(name(node), name(it)) }
         }
         if (from != "state") workers.keys.forEach { network.cut(name(node), it) }
     }
 
     fun cutMachine(index: Int) {
         val worker = workers.keys.elementAtOrNull(index) ?: return
-        (0 until NODES).forEach { network.cut(name(it), worker) }
+        (0 until nodes).forEach { network.cut(name(it), worker) }
     }
 
+    /** Lets a controller's steady clock go [rate] times as fast, far beyond the protocol's bound. */
+    fun slowClock(node: Int, rate: Double) = controllers.getValue(node).second.slowDown(rate)
+
+    /** What the controllers say no longer reaches the machine; what it says still reaches them. */
+    fun muffleMachine(index: Int): String? {
+        val worker = workers.keys.elementAtOrNull(index) ?: return null
+        (0 until nodes).forEach { network.cutOneWay(name(it), worker) }
+        return worker
+    }
+
+    /** Loses the state service and the other controllers, but not its workers. */
+    fun isolateController(node: Int) {
+        network.cut(name(node), "state")
+        network.cut(name(node), "cloud")
+        (0 until nodes).filter { it != node }.forEach { network.cut(name(node), name(it)) }
+    }
+
+    /** Controllers refuse each other's connections, all else goes on. */
+    fun cutPeers() {
+        for (one in 0 until nodes) for (other in 0 until one) network.cut(name(one), name(other))
+    }
+
+    /** Cuts between one machine and all controllers but [node]. */
+    fun cutMachineFromOthers(index: Int, node: Int) {
+        val worker = workers.keys.elementAtOrNull(index) ?: return
+        (0 until nodes).filter { it != node }.forEach { network.cut(name(it), worker) }
+    }
+
+    /** The machine loses power and is back at once; its worker counts from the start again. */
+    fun rebootMachine(index: Int) {
+        val name = workers.keys.elementAtOrNull(index) ?: return
+        val machine = cloudMachines.first { it.name == name }
+        workers.remove(name)?.die()
+        sim.after(100.0 + sim.random.nextInt(600)) { if (!machine.gone) boot(machine) }
+    }
+
+    fun ownerOf(workerName: String): Int = workers.getValue(workerName).reportsTo
+
+    fun workerNames(): List<String> = workers.keys.toList()
+
+    val machinesRented: Int get() = cloud.rentedInAll
+
     fun heal() = network.heal()
 
     fun killMachine(index: Int) {
@@ -149,11 +193,11 @@
     fun workerCount() = workers.size
 
     private fun boot(machine: StandInCloud.Machine) {
-        cloudMachines += machine
+        if (machine !in cloudMachines) cloudMachines += machine
         val endpoint = Endpoint(machine.address.substringBefore(':'), 9000)
         val loop = SimLoop(sim, drift = sim.random.nextDouble() * 0.0005)
         val speed = if (machine.name == slowMachine) SLOW else 1.0
-        val site = WorkerSite(REPORT_S, LEASE_S, (0 until NODES).map { MemberId(name(it)) to client(it) })
+        val site = WorkerSite(REPORT_S, LEASE_S, (0 until nodes).map { MemberId(name(it)) to client(it) })
         val worker = StandInWorker(
             loop,
             network.callerOf(machine.name, loop),
@@ -213,6 +257,14 @@
         }
     }
 
+    /** To be called when all troubles have been over for 75 s: each job by itself must have had an answer since. */
+    fun checkForgotten() {
+        for (user in users.values) {
+            if (!user.accepted || user.told == "aborted") continue
+            if (sim.nowMs - user.answeredAt > FORGOTTEN_S * 1000) breach("forgotten", "${user.spec.id} gets no answer")
+        }
+    }
+
     private fun breach(rule: String, what: String) {
         breaches += "$rule at ${"%.1f".format(sim.nowMs / 1000)}: $what"
     }
@@ -232,6 +284,7 @@
             when (reply?.status) {
                 200, 201 -> {
                     user.accepted = true
+                    user.answeredAt = sim.nowMs
                     later(5.0) { poll(user) }
                 }
                 400, 422 -> breach("forgotten", "${user.spec.id} refused with ${reply.status}")
@@ -243,8 +296,12 @@
     private fun poll(user: User) {
         request(Request(Method.GET, "/submissions/${user.spec.id}")) { reply ->
             if (reply?.status == 404) breach("forgotten", "${user.spec.id} is unknown")
-            if (reply?.status == 200) learn(user, Json.read(reply.body)!!.text("status")!!)
-            later(if (user.finished) 60.0 else 5.0) { poll(user) }
+            if (reply?.status == 200) {
+                user.answeredAt = sim.nowMs
+                learn(user, Json.read(reply.body)!!.text("status")!!)
+            }
+            // Also what is long done is asked for to the end.
+            later(if (user.finished) 15.0 else 5.0) { poll(user) }
         }
     }
 
@@ -277,7 +334,7 @@
 
     /** One request through a random controller, as the load balancer would send it. */
     fun request(request: Request, done: (Reply?) -> Unit) {
-        val node = sim.random.nextInt(NODES)
+        val node = sim.random.nextInt(nodes)
         network.callerOf("users", worldLoop).call(client(node), request, 5.seconds, done)
     }
 
@@ -296,11 +353,12 @@
     fun runningTasks(): Map<TaskId, StandInWorker> = onMachine
 
     companion object {
-        const val NODES = 3
         const val REPORT_S = 1.5
         const val LEASE_S = 10.0
         const val CANCEL_S = 30.0
         const val SLOW = 0.25
+        const val DRIFT = 0.0001
+        const val FORGOTTEN_S = 75.0
         val ZONES = listOf("north", "south")
         val TEAM = TeamName("team")
         private val STATE = Endpoint("10.2.0.1", 2379)
--- a/src/test/kotlin/copperglade/sim/Simulation.kt
+++ b/src/test/kotlin/copperglade/sim/Simulation.kt
@@ -39,15 +39,27 @@
 }
 
 /** A process's clock, a little fast, and its timers, which die with it. */
-class SimLoop(private val sim: Simulation, private val drift: Double = 0.0) : EventLoop {
+class SimLoop(private val sim: Simulation, drift: Double = 0.0) : EventLoop {
     var alive = true
+    private var rate = 1.0 + drift
+    private var baseMs = 0.0
+    private var clockAtBase = 0.0
+
+    /** From now on the clock goes [factor] times as fast as it should. */
+    fun slowDown(factor: Double) {
+        clockAtBase = clockMs()
+        baseMs = sim.nowMs
+        rate = factor
+    }
+
+    private fun clockMs() = clockAtBase + (sim.nowMs - baseMs) * rate
 
-    override fun now() = Moment((sim.nowMs * (1.0 + drift)).toLong())
+    override fun now() = Moment(clockMs().toLong())
 
     override fun wallMillis() = sim.nowMs.toLong()
 
     override fun after(delay: Duration, action: () -> Unit) =
-        sim.after(delay.inWholeMicroseconds / 1000.0 / (1.0 + drift)) { if (alive) action() }
+        sim.after(delay.inWholeMicroseconds / 1000.0 / rate) { if (alive) action() }
 }
 
 /** Hosts and the ways between them, with cuts that hold messages back and deliver them late. */
@@ -63,8 +75,32 @@
     }
 
     fun cut(one: String, other: String) {
-        cuts += one to other
-        cuts += other to one
+        cutOneWay(one, other)
+        cutOneWay(other, one)
+    }
+
+    /** Nothing of [from] reaches [to] any more, though everything of [to] reaches [from]. */
+    fun cutOneWay(from: String, to: String) {
+        cuts += from to to
+    }
+
+    /** One in so many of the workers' reports arrives once more, up to [latestCopyMs] later; 0: none. */
+    var copyOneIn = 0
+    var latestCopyMs = 60_000
+
+    /** What becomes of a report before it arrives once more; other than itself only to see the referee at work. */
+    var forge: (ByteArray) -> ByteArray = { it }
+
+    /** Requests that never arrive anywhere. */
+    var swallows: (Request) -> Boolean = { false }
+
+    private fun copy(to: Endpoint, request: Request) {
+        sim.after(500.0 + sim.random.nextInt(latestCopyMs)) {
+            val present = hosts[to]
+            if (present != null && present.loop.alive) {
+                present.handler.handle(Request(request.method, request.path, forge(request.body))) {}
+            }
+        }
     }
 
     /** Ends all cuts; what was held back is delivered now, however late. */
@@ -90,7 +126,9 @@
             done(reply)
         }
         loop.after(timeout) { finish(null) }
+        if (copyOneIn > 0 && request.path == "/checkin" && sim.random.nextInt(copyOneIn) == 0) copy(to, request)
         val host = hosts[to]
+        if (swallows(request)) return@HttpCaller
         if (host == null || !host.loop.alive) {
             loop.after(2.milliseconds) { finish(null) }
         } else {
--- a/src/test/kotlin/copperglade/standin/StandInCloud.kt
+++ b/src/test/kotlin/copperglade/standin/StandInCloud.kt
@@ -81,6 +81,7 @@
     }
 
     private var created = 0
+    val rentedInAll: Int get() = created
 
     private fun create(type: CloudType, zone: String, spot: Boolean): Machine {
         val number = ++created
--- a/src/test/kotlin/copperglade/standin/StandInWorker.kt
+++ b/src/test/kotlin/copperglade/standin/StandInWorker.kt
@@ -65,6 +65,7 @@
     private var tally = 0L
     private var baton = 0L
     private var target = 0
+    val reportsTo: Int get() = target
     private var reporting = false
     private var lastReport = Moment.NEVER
     private var changed = true
@@ -93,8 +94,9 @@
 
     private fun tick() {
         if (!alive) return
+        // A hanging machine may resume within its lease, and no later: its tasks end with the lease all the same.
+        expire()
         if (!hanging) {
-            expire()
             val due = if (changed) 500.milliseconds else site.reportS.seconds
             if (!reporting && loop.now() >= lastReport + due) report()
         }
--- a/src/test/kotlin/copperglade/storage/RecordsTest.kt
+++ b/src/test/kotlin/copperglade/storage/RecordsTest.kt
@@ -36,18 +36,18 @@
     fun `the most scattered page stays far below the smallest value limit`() {
         val odd = BitSet().apply { for (task in 99_744 until 100_000 step 2) set(task) }
         val page =
-            AssignmentPage(listOf(AssignmentGroup(BlockName("saskatoon-rack.2"), Baton(1L shl 40), 9, odd)), odd, 9)
+            AssignmentPage(listOf(AssignmentGroup(BlockName("saskatoon-rack.2"), Baton(1L shl 40), 9, odd)), odd, 9, 256, 1)
         assertTrue(RecordCodec.encode(page).size < 3000)
     }
 
     @Test
     fun `records survive their JSON`() {
-        val work = WorkRecord(bits(1, 2), mapOf(3 to bits(4)), bits(5))
-        assertTrue(work.sameAs(RecordCodec.decodeWork(Json.read(RecordCodec.encode(work))!!)))
+        val work = RecordCodec.decodeWork(Json.read(RecordCodec.encode(WorkRecord(bits(1, 2), mapOf(3 to bits(4)), bits(5), 8)))!!)
+        assertEquals(listOf(bits(1, 2), mapOf(3 to bits(4)), bits(5), 8), listOf(work.done, work.returned, work.restarted, work.version))
         val page = RecordCodec.decodePage(
-            Json.read(RecordCodec.encode(AssignmentPage(emptyList(), bits(2), lastGeneration = 7)))!!,
+            Json.read(RecordCodec.encode(AssignmentPage(emptyList(), bits(2), lastGeneration = 7, frontier = 5, version = 9)))!!,
         )
-        assertEquals(7, page.lastGeneration)
+        assertEquals(listOf(bits(2), 7, 5, 9), listOf(page.recalled, page.lastGeneration, page.frontier, page.version))
     }
 
     @Test
@@ -55,13 +55,11 @@
         val job = Job(JobId("job-1"))
         job.live = Stamped(LiveRecord(SimSite.job(1, tasks = 4), 0, cancelled = false), Stamp(1))
         val block = BlockName("north.0")
-        job.pages[0] =
-            Stamped(AssignmentPage(listOf(AssignmentGroup(block, Baton(5), 2, bits(0, 1, 2))), BitSet(), 2), Stamp(2))
+        job.setPage(0, Packed(AssignmentPage(listOf(AssignmentGroup(block, Baton(5), 2, bits(0, 1, 2))), BitSet(), 2, 3, 1), "sheet", 0))
         // Task 0 was given back in an earlier generation, task 1 in this one, task 2 is done.
-        val work = WorkRecord(bits(2), mapOf(1 to bits(0), 2 to bits(1)), BitSet())
-        job.works[WorkPlace(0, block)] = Stamped(work, Stamp(3))
-        job.rememberDone(work)
-        assertEquals(listOf(0), job.assignments().map { it.task }.toList())
+        val work = WorkRecord(bits(2), mapOf(1 to bits(0), 2 to bits(1)), BitSet(), 1)
+        job.setWork(WorkPlace(0, block), Packed(work, "sheet", 0))
+        assertEquals(listOf(0), job.assignments().map { it.task })
         assertEquals(JobStatus.RUNNING, job.status())
     }
 
