Assignments come before clearing up; arrays in sheets of their own; recall for guarantees

Clearing up took every bit of the write budget that came free, and arrays were spread over as many sheets as there were rounds. Each urgency now leaves a part of the budget to what comes before it; what could not be written counts as wanted; the lead has the larger part of the cloud's calls. What other teams have borrowed is recalled for a guarantee that waits (Recall).

--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -3,6 +3,7 @@
 import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.MemberId
 import copperglade.protocol.Moment
@@ -32,6 +33,7 @@
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What the lead counts of a team while it decides. */
 private class TeamUse(val team: Team) {
@@ -59,13 +61,18 @@
     private val turns: Turns,
     private val noteOf: (MemberId) -> PeerNote?,
 ) {
-    private val packer = SheetPacker(
-        replica,
-        store.limits,
-        Keys.SHEETS,
-        { job, page -> job.pages[page] },
-        { job, page -> job.pages[page]?.let { RecordCodec.encode(it.value) } },
-    )
+    /** Arrays are written again and again while they run, services once: apart, a round of arrays is few sheets. */
+    private val packers = JobKind.entries.associateWith { kind ->
+        SheetPacker(
+            replica,
+            store.limits,
+            Keys.sheetsOf(kind),
+            { job, page -> job.pages[page] },
+            { job, page -> job.pages[page]?.let { RecordCodec.encode(it.value) } },
+        )
+    }
+    private val recall = Recall(teams)
+    private var recalledAt = Moment.NEVER
 
     /** Tasks whose assignment is on its way or of unknown outcome: they count as assigned. */
     private val pending = HashMap<JobId, Int>()
@@ -86,14 +93,22 @@
     /** What a round has chosen, by the pages to be written. */
     private class Decisions {
         val choices = LinkedHashMap<JobPage, List<Choice>>()
+        val recalls = LinkedHashMap<JobPage, BitSet>()
+        val places get() = choices.keys + recalls.keys
     }
 
+    private fun packerOf(job: Job): SheetPacker = packers.getValue(
+        job.live!!
+            .value.spec.kind,
+    )
+
     fun round() {
         if (term != leadership.stamp) beginTerm()
         val now = loop.now()
         val unhurried = now >= unhurriedFrom
         val uses = teams.mapValues { TeamUse(it.value) }
-        val waiting = gather(uses).filter { waits(it) && (unhurried || it.urgent) }
+        val all = gather(uses)
+        val waiting = all.filter { waits(it) && (unhurried || it.urgent) }
         if (waiting.isEmpty()) return
         // The scarcer the budget, the longer what can wait is gathered, and the more is decided at a time.
         if (unhurried) unhurriedFrom = now + SHORTEST_GATHERING + LONGEST_GATHERING * (1.0 - store.writeLevel())
@@ -109,9 +124,34 @@
             val use = uses[candidate.spec.team] ?: continue
             assign(candidate, use, rooms, decisions, most)
         }
+        if (unhurried && now >= recalledAt + RECALL_PACE) {
+            recalledAt = now
+            recallBorrowed(all, uses, decisions)
+        }
         write(decisions)
     }
 
+    /** What other teams have borrowed is stopped where a guarantee has been waiting for room. */
+    private fun recallBorrowed(all: List<Candidate>, uses: Map<TeamName, TeamUse>, decisions: Decisions) {
+        val chosen = decisions.choices.keys.mapTo(HashSet()) { it.job }
+        val claims = all
+            .filter { it.guaranteed && waits(it) && it.job.id !in chosen && it.waitedS >= RECALL_AFTER_S }
+            .map { Claim(it.spec.team, it.spec.request, it.left - it.standing.size) }
+        if (claims.isEmpty()) return
+        val lent = all
+            .filter { !it.guaranteed && it.spec.kind == JobKind.ARRAY && it.job.id !in pending && it.job.id !in chosen }
+            .map { Borrowed(it.job, it.spec, it.standing) }
+        val used = uses.mapValues { it.value.used.cpus }
+        for ((job, tasks) in recall.choose(claims, lent, used)) {
+            tasks.groupBy { it.task / Keys.PAGE_TASKS }.forEach { (page, its) ->
+                if (packerOf(job).ready(job, page)) {
+                    decisions.recalls[JobPage(job.id, page)] = BitSet().apply { its.forEach { set(it.task) } }
+                }
+            }
+            log.info("{} tasks of {} are recalled for a guarantee", tasks.size, job.id)
+        }
+    }
+
     private fun longWaiting(candidate: Candidate): LongWaiting<Candidate> {
         val cpus = candidate.spec.request.cpus
             .coerceAtLeast(SMALLEST_CPUS)
@@ -125,7 +165,7 @@
     private fun beginTerm() {
         term = leadership.stamp
         pending.clear()
-        packer.endAll()
+        packers.values.forEach { it.endAll() }
     }
 
     private fun waits(candidate: Candidate): Boolean {
@@ -204,7 +244,7 @@
             task = taken.nextClearBit(task + 1)
         }
         for ((page, chosen) in choices.groupBy { it.task / Keys.PAGE_TASKS }) {
-            if (packer.ready(candidate.job, page)) decisions.choices[JobPage(candidate.job.id, page)] = chosen
+            if (packerOf(candidate.job).ready(candidate.job, page)) decisions.choices[JobPage(candidate.job.id, page)] = chosen
         }
     }
 
@@ -273,7 +313,7 @@
     }
 
     /** The page with the [choices] added, and without the tasks that are done or given back. */
-    private fun pageWith(job: Job, page: Int, choices: List<Choice>): AssignmentPage {
+    private fun pageWith(job: Job, page: Int, choices: List<Choice>, recalls: BitSet?): AssignmentPage {
         val present = job.pages[page]?.value ?: AssignmentPage.EMPTY
         val groups = standingGroups(job, page, present)
         val generation = present.lastGeneration + 1
@@ -303,6 +343,7 @@
         }
         val recalled = present.recalled.clone() as BitSet
         choices.forEach { recalled.clear(it.task) }
+        recalls?.let(recalled::or)
         return AssignmentPage(groups, recalled, generation, frontier, present.version + 1)
     }
 
@@ -323,21 +364,31 @@
 
     private fun write(decisions: Decisions) {
         val changes = LinkedHashMap<JobPage, ByteArray>()
-        for ((place, choices) in decisions.choices) {
+        for (place in decisions.places) {
+            val choices = decisions.choices[place].orEmpty()
             if (choices.any { it.room.block !in replica.blocks }) continue
-            changes[place] = RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, choices))
+            val job = replica.jobs.getValue(place.job)
+            changes[place] = RecordCodec.encode(pageWith(job, place.page, choices, decisions.recalls[place]))
         }
         // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
         // queue of decisions about lesser work would hold up the urgent ones behind it.
         var affordable = store.affordableAssignments()
-        for (sheet in packer.pack(changes)) {
+        for (sheet in pack(changes)) {
             val urgent = sheet.places.any { replica.jobs[it.job]?.spec?.let { spec -> spec.priority <= Priority.HIGH } ?: false }
-            if (!urgent && affordable <= store.keptForUrgent) continue
+            if (!urgent && affordable <= store.keptForUrgent) {
+                store.missed(sheet.writes.size)
+                continue
+            }
             affordable -= sheet.writes.size
-            commit(sheet, sheet.places.associateWith { decisions.choices.getValue(it) })
+            commit(sheet, sheet.places.associateWith { decisions.choices[it].orEmpty() })
         }
     }
 
+    /** Services first: they are the urgent ones as a rule. */
+    private fun pack(changes: Map<JobPage, ByteArray>): List<SheetWrite> = packers.entries
+        .sortedBy { it.key != JobKind.SERVICE }
+        .flatMap { (kind, packer) -> packer.pack(changes.filterKeys { replica.jobs[it.job]?.spec?.kind == kind }) }
+
     private fun commit(sheet: SheetWrite, choices: Map<JobPage, List<Choice>>) {
         val conditions = LinkedHashSet<Condition>()
         conditions += leadership.condition
@@ -351,7 +402,7 @@
         val counts = HashMap<JobId, Int>()
         choices.forEach { (place, chosen) -> counts.merge(place.job, chosen.size, Int::plus) }
         counts.forEach { (job, count) -> pending.merge(job, count, Int::plus) }
-        packer.begin(sheet)
+        sheet.packer.begin(sheet)
         val spell = term
         store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
             if (spell != term) return@commit
@@ -378,13 +429,13 @@
         if (choices.size < 2) return log.warn("assignments of {} need too many conditions", choices.keys)
         val part = choices.entries.take(choices.size / 2).associate { it.key to it.value }
         val changes = part.mapValues { (place, chosen) ->
-            RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, chosen))
+            RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, chosen, recalls = null))
         }
-        packer.pack(changes).forEach { sheet -> commit(sheet, sheet.places.associateWith { part.getValue(it) }) }
+        pack(changes).forEach { sheet -> commit(sheet, sheet.places.associateWith { part.getValue(it) }) }
     }
 
     private fun settled(sheet: SheetWrite, counts: Map<JobId, Int>) {
-        packer.end(sheet)
+        sheet.packer.end(sheet)
         counts.forEach { (job, count) -> pending.computeIfPresent(job) { _, sum -> (sum - count).takeIf { it > 0 } } }
     }
 
@@ -403,7 +454,7 @@
                     (it.key in replica.sheets || it.stamp != Stamp.ABSENT)
             }
             if (changed) return@fresh settled(sheet, counts)
-            val same = packer.same(sheet)
+            val same = sheet.packer.same(sheet)
             val transaction = Transaction(listOf(leadership.condition) + same.conditions, same.writes)
             store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
                 if (spell != term) return@commit
@@ -425,6 +476,8 @@
         val SHORTEST_GATHERING = 150.milliseconds
         val LONGEST_GATHERING = 1000.milliseconds
         val AFTER_REFUSAL = 200.milliseconds
+        val RECALL_PACE = 1.seconds
+        const val RECALL_AFTER_S = 3.0
         val log = LoggerFactory.getLogger("assigner")
 
         fun yields(room: RoomBook.Room, spec: JobSpec) =
--- a/src/main/kotlin/copperglade/coordination/Closer.kt
+++ b/src/main/kotlin/copperglade/coordination/Closer.kt
@@ -13,6 +13,7 @@
 import copperglade.storage.TransactionOutcome
 import copperglade.storage.Urgency
 import copperglade.storage.Write
+import kotlin.math.min
 
 /**
  * The lead's clearing up: a job that is over, with nothing of it left on any machine, becomes a small final record.
@@ -30,7 +31,7 @@
         val over = replica.jobs.values.filter {
             it.live != null && it.id !in inFlight && (it.complete || it.cancelled) && it.assignments().isEmpty()
         }
-        over.chunked(store.limits.transactionWrites / WRITES_A_JOB).take(MOST_IN_FLIGHT).forEach(::close)
+        over.chunked(min(JOBS_AT_ONCE, store.limits.transactionWrites / WRITES_A_JOB)).take(MOST_IN_FLIGHT).forEach(::close)
     }
 
     private fun close(jobs: List<Job>) {
@@ -58,6 +59,9 @@
 
     private companion object {
         const val WRITES_A_JOB = 2
+
+        /** Small steps: a large one would hold up the assignments behind it. */
+        const val JOBS_AT_ONCE = 3
         const val MOST_IN_FLIGHT = 20
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -145,6 +145,9 @@
     /** All controllers together must stay within the state service's budgets; whoever has more to write gets more. */
     private fun shareBudget() {
         val others = (replica.members.keys - settings.member).map { noteOf(it)?.writesWanted }
+        // The lead rents and lists, the others only return what is idle.
+        val cloudShare = if (leadership.leading) LEADS_PART_OF_CLOUD else (1.0 - LEADS_PART_OF_CLOUD) / others.size.coerceAtLeast(1)
+        cloudBudget.setRate(settings.cloudRps * CLOUD_SHARE * cloudShare, loop.now())
         store.setShares(BUDGET_USED / (others.size + 1), BUDGET_USED * BudgetShare.of(store.writesWanted, others, settings.stateWriteRps))
     }
 
@@ -261,6 +264,7 @@
         private const val BUDGET_USED = 0.9
         private const val CLOUD_SHARE = 0.9
         private const val ROUND_REST = 3
+        private const val LEADS_PART_OF_CLOUD = 0.6
         private val SHORTEST_ROUND = 60.milliseconds
 
         /**
--- a/src/main/kotlin/copperglade/storage/Records.kt
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -7,6 +7,7 @@
 import copperglade.protocol.ImageName
 import copperglade.protocol.Incarnation
 import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.JobSpecCodec
 import copperglade.protocol.JobStatus
@@ -149,7 +150,7 @@
     fun live(job: JobId) = "${NOW}live/$job"
 
     /** The lead's sheets: each holds the assignments of several jobs' pages. */
-    const val SHEETS = "${NOW}task/"
+    fun sheetsOf(kind: JobKind) = "${NOW}task/${kind.name.lowercase()}/"
 
     /** A block's sheets: each holds what became of several jobs' pages in that block. */
     fun workSheets(block: BlockName) = "${NOW}work/$block/"
--- a/src/main/kotlin/copperglade/storage/SheetPacker.kt
+++ b/src/main/kotlin/copperglade/storage/SheetPacker.kt
@@ -3,7 +3,7 @@
 import copperglade.protocol.Stamp
 
 /** One transaction's worth of packed records, and the pages that it changes. */
-class SheetWrite(val conditions: List<Condition>, val writes: List<Write>, val places: Set<JobPage>)
+class SheetWrite(val packer: SheetPacker, val conditions: List<Condition>, val writes: List<Write>, val places: Set<JobPage>)
 
 /**
  * Packs changed pages into as few values as the service's limit allows. The budget counts keys, not bytes: with a record
@@ -80,14 +80,14 @@
         }
         return drafts.values.map { draft ->
             val all = listOf(draft) + moved[draft.key].orEmpty()
-            SheetWrite(all.map { it.condition() }, all.map { it.write() }, draft.changed)
+            SheetWrite(this, all.map { it.condition() }, all.map { it.write() }, draft.changed)
         }
     }
 
     /** Writes the first of [write]'s sheets as it is, only to change its stamp: a late copy of [write] dies of that. */
     fun same(write: SheetWrite): SheetWrite {
         val draft = Draft(write.writes.first().key)
-        return SheetWrite(listOf(draft.condition()), listOf(draft.write()), emptySet())
+        return SheetWrite(this, listOf(draft.condition()), listOf(draft.write()), emptySet())
     }
 
     private fun fits(bytes: Int, place: JobPage, part: ByteArray) = bytes + sizeOf(place, part.size) <= fullBytes * ROOM_TO_GROW
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -49,8 +49,12 @@
     data object Unknown : TransactionOutcome
 }
 
-/** What comes first when there is less budget than work. */
-enum class Urgency { HOLD, USER, ASSIGNMENT, OUTCOME, CLEANING }
+/**
+ * What comes first when there is less budget than work, and how full the budget must be for it. Assignments are decided
+ * by what could be written at once: without a reserve, clearing up took every bit that came free, and on a grown day
+ * the lead assigned nothing but urgent tasks for ten seconds at a time, while half of 500 machines stood idle.
+ */
+enum class Urgency(val reserve: Double) { HOLD(0.0), USER(0.0), ASSIGNMENT(0.0), OUTCOME(0.1), CLEANING(0.6) }
 
 class Entry(val key: String, val value: JsonNode, val stamp: Stamp)
 
@@ -153,6 +157,9 @@
     /** So much of the budget less urgent assignments leave to urgent ones. */
     val keptForUrgent: Int get() = (writes.capacity * KEPT_FOR_URGENT).toInt()
 
+    /** Takes note of changes that would have been made, had there been budget. */
+    fun missed(changes: Int) = demand.add(changes, loop.now())
+
     /** Whether a further transaction of a user would have to wait for long. */
     fun crowded(): Boolean = queues.getValue(Urgency.USER).size >= MOST_QUEUED
 
@@ -173,7 +180,7 @@
                 val next = queue.first()
                 if (urgency == Urgency.HOLD) {
                     writes.take(next.transaction.writes.size, loop.now())
-                } else if (inFlight >= MOST_IN_FLIGHT || !writes.tryTake(next.transaction.writes.size, loop.now())) {
+                } else if (inFlight >= MOST_IN_FLIGHT || !writes.tryTake(next.transaction.writes.size, loop.now(), urgency.reserve)) {
                     drainLater()
                     return
                 }
--- a/src/main/kotlin/copperglade/storage/TokenBucket.kt
+++ b/src/main/kotlin/copperglade/storage/TokenBucket.kt
@@ -3,6 +3,7 @@
 import copperglade.protocol.Moment
 import copperglade.protocol.secondsSince
 import kotlin.math.exp
+import kotlin.math.max
 import kotlin.math.min
 
 /** A budget of so many per second, with a burst of [burstS] seconds' worth. */
@@ -20,10 +21,12 @@
     /**
      * Takes [count] if there are as many. A large count passes when the bucket is half full, and what comes later pays
      * for the rest: waiting for a bucket that small takers keep from filling up, it might wait for ever.
+     *
+     * @param reserve how full the bucket must be beforehand, from 0 to 1: what can wait leaves that to others.
      */
-    fun tryTake(count: Int, now: Moment): Boolean {
+    fun tryTake(count: Int, now: Moment, reserve: Double = 0.0): Boolean {
         refill(now)
-        if (tokens < min(count.toDouble(), perSecond * burstS * LARGE_PASSES)) return false
+        if (tokens < max(min(count.toDouble(), capacity * LARGE_PASSES), capacity * reserve)) return false
         tokens -= count
         return true
     }
--- a/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
@@ -1,6 +1,8 @@
 package copperglade.sim
 
 import copperglade.protocol.JobId
+import copperglade.protocol.Team
+import copperglade.protocol.TeamName
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -31,6 +33,26 @@
     private fun sees(site: SimSite, rule: String) =
         assertTrue(site.breaches.any { it.startsWith(rule) }, "not seen: ${site.breaches}")
 
+    // ---- guarantees ----
+
+    @Test
+    fun `what another team has borrowed is recalled for a guarantee`() {
+        val lender = TeamName("lender")
+        val site = SimSite(Simulation(21), machinesPerZone = 1, teamCpus = 100.0, otherTeam = Team(lender, 32.0, 100.0, 0.0, 0.0))
+        // All four machines are full of what "team" runs, three quarters of it beyond its guarantee, for longer than the day.
+        site.submit(SimSite.job(1, tasks = 240)) { 600.0 }
+        site.run(40.0)
+        assertEquals(32, site.runningTasks().size)
+        site.submit(SimSite.job(2, tasks = 16, team = lender)) { 20.0 }
+        site.run(15.0)
+        assertEquals(16, site.runningTasks().keys.count { it.job == JobId("job-2") })
+        site.run(40.0)
+        assertEquals("done", site.users.getValue(JobId("job-2")).told)
+        // Nothing within the guarantee of "team" was touched, and it has the rest again.
+        assertEquals(32, site.runningTasks().size)
+        assertEquals(emptyList<String>(), site.breaches)
+    }
+
     // ---- nothing forgotten ----
 
     @ParameterizedTest
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -40,6 +40,7 @@
     private val toldLeaseS: Double = LEASE_S,
     private val toldCpusMax: Double = teamCpus,
     val nodes: Int = 3,
+    private val otherTeam: Team? = null,
 ) : World {
     val network = SimNetwork(sim)
     private val worldLoop = SimLoop(sim)
@@ -96,7 +97,7 @@
         cloud = CLOUD,
         state = STATE,
         zones = ZONES,
-        teams = listOf(Team(TEAM, 16.0, toldCpusMax, 0.0, 0.0)).associateBy { it.name },
+        teams = listOfNotNull(Team(TEAM, 16.0, toldCpusMax, 0.0, 0.0), otherTeam).associateBy { it.name },
         deadlineTimes = emptyMap(),
         reportS = REPORT_S,
         leaseS = toldLeaseS,
@@ -233,12 +234,12 @@
         val zones = onMachine.filterKeys { it.job == task.job }.values.map { it.zone }
         if (user.spec.oneZone && zones.distinct().size > 1) breach("wrong_place", "$task not in one zone")
         if (zones.count { it == worker.zone } > user.spec.perZoneLimit) breach("wrong_place", "$task not spread")
-        val used = onMachine.keys.sumOf {
-            users
-                .getValue(it.job)
-                .spec.request.cpus
-        }
-        if (used > teamCpus + 1e-6) breach("quota", "$used CPUs with $task")
+        val used = onMachine.keys
+            .map { users.getValue(it.job).spec }
+            .filter { it.team == user.spec.team }
+            .sumOf { it.request.cpus }
+        val limit = otherTeam?.takeIf { it.name == user.spec.team }?.cpusMax ?: teamCpus
+        if (used > limit + 1e-6) breach("quota", "$used CPUs with $task")
         checkCancelled()
     }
 
@@ -373,8 +374,9 @@
             spread: Boolean = false,
             spot: Boolean = true,
             image: Int = 1,
+            team: TeamName = TEAM,
         ): JobSpec {
-            val text = """{"nameId":"job-$number","load":"${if (service) "web" else "batch"}","crew":"team",
+            val text = """{"nameId":"job-$number","load":"${if (service) "web" else "batch"}","crew":"$team",
                 "haul":"${if (service) "daemon" else "array"}","urgency":"${if (service) "urgent" else "normal"}",
                 "boxes":$tasks,"vcpus":$cpus,"gpus":0.0,"memoryGb":1.0,"manifest":"img-$image","pullGb":1.5,"fleets":null,
                 "depot":null,"oneZone":$oneZone,"spread":$spread,"borrowed":$spot,"etaS":${if (service) 0.0 else 8.0},
