--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -106,6 +106,7 @@
         if (term != leadership.stamp) beginTerm()
         val now = loop.now()
         val unhurried = now >= unhurriedFrom
+        if (!unhurried && replica.jobs.values.none(::urgentlyWaits)) return
         val uses = teams.mapValues { TeamUse(it.value) }
         val all = gather(uses)
         val waiting = all.filter { waits(it) && (unhurried || it.urgent) }
@@ -162,6 +163,12 @@
 
     private val Candidate.waitedS get() = (loop.wallMillis() - acceptedAtMs) / MS
 
+    private fun urgentlyWaits(job: Job): Boolean {
+        val spec = job.spec ?: return false
+        if (spec.priority > Priority.HIGH || job.cancelled || job.id in pending) return false
+        return job.assignments().size + job.done.cardinality() < spec.tasks
+    }
+
     private fun beginTerm() {
         term = leadership.stamp
         pending.clear()
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -75,6 +75,7 @@
 
     /** Machines that were dropped and have just been asked whether they live. */
     private val asked = HashSet<MachineName>()
+    private var nextSweep = Moment.NEVER
 
     var baton = first
         private set
@@ -518,9 +519,12 @@
         if (!open) return
         outcomes.flush()
         val now = loop.now()
+        place(now)
+        if (now < nextSweep) return
+        // Whatever a report or a record changes is seen to at once; the sweep finds what only time has changed.
+        nextSweep = now + SWEEP_PACE
         expire(now)
         findMissing(now)
-        place(now)
         if (context.membership.mayAct) {
             stragglers.look(machines.values, now).forEach { restart(it) }
             machines.values.toList().forEach(::settle)
@@ -682,6 +686,7 @@
         /** Workers drop answers that come later than 4 s after their report. */
         private val ANSWER_ACTS = 5.seconds
         private val UNSETTLED = 5.seconds
+        private val SWEEP_PACE = 400.milliseconds
         private val RESEND = 1000.milliseconds
         private val COMMAND_TIMEOUT = 1500.milliseconds
         private const val IMAGES_REMEMBERED = 12
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -312,8 +312,9 @@
     ): List<MachineName> {
         val chosen = ArrayList<MachineName>()
         chosen += unusable(rooms)
+        val longEnoughMs = replacementS() * tuning.idleReplacements * MS
         val candidates = rooms.values
-            .filter { it.usable && it.idleMs >= replacementS() * tuning.idleReplacements * MS }
+            .filter { it.usable && it.idleMs >= longEnoughMs }
             .sortedWith(compareBy({ it.spot }, { it.name.text }))
         for (room in candidates) {
             val cpus = types[room.type]?.capacity?.cpus ?: continue
--- a/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
+++ b/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
@@ -59,12 +59,13 @@
         val similar = context.profiles.similar(run.spec.load, done)
         val here = context.profiles.predict(home.name, factorsOn(home, run, home.runs.size), similar) ?: return null
         val remaining = here.average - elapsed
-        val options = machines.mapNotNull { machine ->
-            val type = context.types[machine.typeName] ?: return@mapNotNull null
-            val room = free[machine.name] ?: return@mapNotNull null
-            val fits = machine !== home && machine.name !in run.avoid && run.spec.request.fitsIn(room) &&
+        val fitting = machines.filter { machine ->
+            val room = free[machine.name]
+            room != null && machine !== home && machine.name !in run.avoid && run.spec.request.fitsIn(room) &&
                 run.spec.allows(machine.typeName, machine.zone, machine.spot)
-            if (!fits) return@mapNotNull null
+        }
+        val options = fitting.sortedByDescending { free.getValue(it.name).cpus }.take(MOST_OPTIONS).mapNotNull { machine ->
+            val type = context.types[machine.typeName] ?: return@mapNotNull null
             val prediction = context.profiles.predict(machine.name, factorsOn(machine, run, machine.runs.size + 1), similar)
             val fetchS = if (machine.hasImage(run.spec.image)) 0.0 else run.spec.image.gb / type.fetchGbPerS.coerceAtLeast(TINY)
             prediction?.let { Option(machine.name, it, fetchS) }
@@ -103,7 +104,10 @@
 
     private companion object {
         const val TINY = 1e-6
-        const val MOST_WEIGHED = 8
+        const val MOST_WEIGHED = 4
+
+        /** Weighing hundreds of machines for each straggler was a quarter of the processor on a grown day. */
+        const val MOST_OPTIONS = 16
         val PACE = 1.seconds
         val log = LoggerFactory.getLogger("risk")
     }
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -15,7 +15,7 @@
     val nearestProfiles: Int = 8,
     val fittingSteps: Int = 4,
     val fittingRate: Double = 0.02,
-    val profileCapacity: Int = 1500,
+    val profileCapacity: Int = 800,
     val turnAfterS: Double = 60.0,
     val turnShare: Double = 0.15,
     val headroom: Double = 1.15,
