A page on its way goes into no second sheet; guarantees by the plan once late; urgent writes gathered

Pages on their way are remembered, and of two versions of a page the newer counts. Cause 2: in a burst of services each new one took a write of the lead's, and for 90 s no array was assigned. Urgent assignments are gathered as the budget shrinks, and what can wait gets some of it at least every 1.5 s. Cause 3: a team's oldest, already late jobs had its guarantee to themselves. Past the time of the aim the plan decides.

--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -7,6 +7,7 @@
 import copperglade.protocol.JobSpec
 import copperglade.protocol.MemberId
 import copperglade.protocol.Moment
+import copperglade.protocol.Objectives
 import copperglade.protocol.PeerNote
 import copperglade.protocol.Priority
 import copperglade.protocol.Resources
@@ -56,8 +57,7 @@
     private val roomBook: RoomBook,
     private val types: TypeBook,
     private val teams: Map<TeamName, Team>,
-    /** By load, the multiples of a deadline that the objectives count. */
-    private val deadlineTimes: Map<String, List<Double>>,
+    private val objectives: Objectives,
     private val turns: Turns,
     private val noteOf: (MemberId) -> PeerNote?,
 ) {
@@ -80,6 +80,8 @@
     /** The spell of leading that [pending] belongs to. */
     private var term = Stamp.ABSENT
     private var unhurriedFrom = Moment.NEVER
+    private var hurriedFrom = Moment.NEVER
+    private var unhurriedWrittenAt = Moment.NEVER
 
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
@@ -106,12 +108,14 @@
         if (term != leadership.stamp) beginTerm()
         val now = loop.now()
         val unhurried = now >= unhurriedFrom
-        if (!unhurried && replica.jobs.values.none(::urgentlyWaits)) return
+        if (!unhurried && (now < hurriedFrom || replica.jobs.values.none(::urgentlyWaits))) return
         val uses = teams.mapValues { TeamUse(it.value) }
         val all = gather(uses)
         val waiting = all.filter { waits(it) && (unhurried || it.urgent) }
         if (waiting.isEmpty()) return
-        // The scarcer the budget, the longer what can wait is gathered, and the more is decided at a time.
+        // The scarcer the budget, the longer is gathered, and the more is decided at a time. Also what is urgent: a write
+        // for each new service took the whole budget of a grown day's burst, and for 90 s no array was assigned.
+        hurriedFrom = now + HURRIED_GATHERING * (1.0 - store.writeLevel())
         if (unhurried) unhurriedFrom = now + SHORTEST_GATHERING + LONGEST_GATHERING * (1.0 - store.writeLevel())
         val rooms = roomBook.rooms(noteOf).filterTo(ArrayList()) { it.machine.usable }
         if (rooms.isEmpty()) return
@@ -189,7 +193,9 @@
         planned.forEachIndexed { index, candidate -> rank[candidate.job.id] = index }
         return (undated + planned).sortedWith(
             compareBy<Candidate> { it.spec.priority }
-                .thenBy { if (it.guaranteed) 0 else 1 }
+                // What is too late for its guarantee anyway goes by the plan: a team's late jobs, being its oldest, would
+                // otherwise have its guarantee to themselves, and make the next ones late as well.
+                .thenBy { if (it.guaranteed && it.waitedS <= objectives.guaranteeWithinS) 0 else 1 }
                 .thenBy { rank[it.job.id] ?: -1 }
                 .thenBy { it.acceptedAtMs },
         )
@@ -200,7 +206,7 @@
         val waitedS = candidate.waitedS
         val deadlineS = spec.deadlineS ?: 0.0
         // Even with all room of the world, the last task still needs its own run time.
-        val due = (deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS }
+        val due = (objectives.deadlineTimes[spec.load] ?: ONCE).map { it * deadlineS - waitedS }.filter { it > spec.estimateS * HOPEFUL }
         return PlannedJob(candidate, candidate.left * spec.request.cpus * spec.estimateS, due, waitedS, spec.team)
     }
 
@@ -229,7 +235,7 @@
         val taken = candidate.job.done.clone() as BitSet
         candidate.standing.forEach { taken.set(it.task) }
         val zones = ZoneCount(spec, candidate.standing.map { zoneOf(it.block) })
-        val places = places(spec, zones, rooms).iterator()
+        val places = places(candidate, zones, rooms).iterator()
         val choices = ArrayList<Choice>()
         var place = if (places.hasNext()) places.next() else null
         var task = taken.nextClearBit(0)
@@ -299,21 +305,32 @@
     }
 
     /** The places for a job's tasks, cheapest first, then fullest: weighed once a job, not once a task. */
-    private fun places(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>): List<Place> {
+    private fun places(candidate: Candidate, zones: ZoneCount, rooms: List<RoomBook.Room>): List<Place> {
+        val spec = candidate.spec
+        val blocks = blocksFor(candidate, rooms)
         val places = ArrayList<Place>()
         for (room in rooms) {
             val machine = room.machine
+            val further = if (room.block in blocks) 0.0 else FURTHER_BLOCK_S
             if (room.kept || !spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
             if (spec.request.fitsIn(room.free)) {
-                places += Place(room, preempts = false, cost(spec, room, preempts = false))
+                places += Place(room, preempts = false, cost(spec, room, preempts = false) + further)
             }
             if (yields(room, spec) && spec.request.fitsIn(withYielding(room, spec))) {
-                places += Place(room, preempts = true, cost(spec, room, preempts = true))
+                places += Place(room, preempts = true, cost(spec, room, preempts = true) + further)
             }
         }
         return places.sortedWith(compareBy({ it.cost }, { it.room.free.cpus }))
     }
 
+    /** Where a job's tasks had better be: few blocks have few records of it to write. */
+    private fun blocksFor(candidate: Candidate, rooms: List<RoomBook.Room>): Set<BlockName> {
+        if (candidate.standing.isNotEmpty()) return candidate.standing.mapTo(HashSet()) { it.block }
+        val all = rooms.mapTo(LinkedHashSet()) { it.block }.toList()
+        val first = Math.floorMod(candidate.job.id.hashCode(), all.size)
+        return (0 until FIRST_BLOCKS).mapTo(HashSet()) { all[(first + it) % all.size] }
+    }
+
     private fun cost(spec: JobSpec, room: RoomBook.Room, preempts: Boolean): Double {
         val machine = room.machine
         return PlacementCost.of(spec, types[machine.type], machine.spot, spec.image.name in machine.images, preempts)
@@ -382,9 +399,13 @@
         var affordable = store.affordableAssignments()
         for (sheet in pack(changes)) {
             val urgent = sheet.places.any { replica.jobs[it.job]?.spec?.let { spec -> spec.priority <= Priority.HIGH } ?: false }
-            if (!urgent && affordable <= store.keptForUrgent) {
-                store.missed(sheet.writes.size)
-                continue
+            if (!urgent) {
+                // However little there is, some of it is theirs.
+                if (affordable <= store.keptForUrgent && loop.now() < unhurriedWrittenAt + LONGEST_WITHOUT) {
+                    store.missed(sheet.writes.size)
+                    continue
+                }
+                unhurriedWrittenAt = loop.now()
             }
             affordable -= sheet.writes.size
             commit(sheet, sheet.places.associateWith { decisions.choices[it].orEmpty() })
@@ -480,6 +501,15 @@
         const val MOST_TASKS = 2000
         const val MS = 1000.0
         const val SMALLEST_CPUS = 0.01
+
+        /** Owners' estimates are often too high by half. */
+        const val HOPEFUL = 0.7
+
+        /** A further block for a job costs records in it; so much longer a fetch would be as bad. */
+        const val FURTHER_BLOCK_S = 0.4
+        const val FIRST_BLOCKS = 2
+        val HURRIED_GATHERING = 500.milliseconds
+        val LONGEST_WITHOUT = 1500.milliseconds
         val SHORTEST_GATHERING = 150.milliseconds
         val LONGEST_GATHERING = 1000.milliseconds
         val AFTER_REFUSAL = 200.milliseconds
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -630,8 +630,12 @@
         return ImageRecord(known.toMap())
     }
 
-    /** How many of the block's machines have sent nothing lately, which they would have many times over. */
-    fun silentMachines(now: Moment): Int = machines.values.count { isSilent(it, now) }
+    /**
+     * How many of the block's machines have missed a report. A worker whose report has gone unanswered for 4 s asks another
+     * controller, and is sent back for 4 s more if the block still has its owner by then.
+     */
+    fun unheardMachines(now: Moment): Int =
+        machines.values.count { now >= it.heardAt + (context.reportS * MISSED_REPORTS).seconds }
 
     private fun isSilent(machine: Machine, now: Moment) = now >= machine.heardAt + (context.reportS * SILENT_REPORTS).seconds
 
@@ -678,6 +682,7 @@
         private const val LEASE_MARGIN_S = 0.5
         private const val MOST_IN_VAIN = 4
         private const val SILENT_REPORTS = 2.5
+        private const val MISSED_REPORTS = 1.6
         private const val MOST_COMMANDS = 200
         private const val BACKOFF_S = 1.0
         private const val BACKOFF_DOUBLINGS = 6
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -81,7 +81,7 @@
     private val roomBook = RoomBook(replica, blockMap)
     private val turns = Turns(tuning.turnAfterS, tuning.turnShare)
     private val assigner =
-        Assigner(loop, store, replica, leadership, roomBook, types, settings.teams, settings.deadlineTimes, turns, ::roomNoteOf)
+        Assigner(loop, store, replica, leadership, roomBook, types, settings.teams, settings.objectives, turns, ::roomNoteOf)
     private val closer = Closer(store, replica, leadership)
     private val fleet = Fleet(
         loop,
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -7,6 +7,7 @@
 import copperglade.protocol.Endpoint
 import copperglade.protocol.MachineName
 import copperglade.protocol.MemberId
+import copperglade.protocol.Moment
 import copperglade.protocol.Report
 import copperglade.protocol.Stamp
 import copperglade.protocol.WorkerWire
@@ -42,6 +43,8 @@
     private val membership = context.membership
     private val owned = HashMap<BlockName, BlockOwner>()
     private val keyInFlight = HashSet<BlockName>()
+    private var unheardCheckedAt = Moment.NEVER
+    private var unheardTimes = 0
 
     fun start() {
         loop.again({ TICK }, ::tick)
@@ -59,9 +62,15 @@
      */
     private fun giveUpUnheard() {
         val now = loop.now()
+        // After a pause of our own, everybody seems to have been silent: what has come meanwhile is read first.
+        val onTime = now < unheardCheckedAt + GIVE_UP_PACE * 2
+        unheardCheckedAt = now
         val blocks = owned.values.filter { it.open }
         val machines = blocks.sumOf { it.machines.size }
-        if (machines < FEWEST_TO_TELL || blocks.sumOf { it.silentMachines(now) } < machines || store.isSilent()) return
+        val unheard = machines >= FEWEST_TO_TELL && blocks.sumOf { it.unheardMachines(now) } == machines && !store.isSilent()
+        unheardTimes = if (unheard && onTime) unheardTimes + 1 else 0
+        if (unheardTimes < TIMES_TO_TELL) return
+        unheardTimes = 0
         log.warn("none of our {} machines is heard: their blocks are given up", machines)
         release(blocks.map { it.name }, unheard = true)
     }
@@ -251,7 +260,8 @@
         const val PLENTY = 0.6
         val REMEMBER_PACE = 10.seconds
         const val FEWEST_TO_TELL = 3
-        val GIVE_UP_PACE = 500.milliseconds
+        const val TIMES_TO_TELL = 2
+        val GIVE_UP_PACE = 250.milliseconds
         val TICK = 100.milliseconds
         val RETRY = 200.milliseconds
         val DELETE_TIMEOUT = 5.seconds
--- a/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
+++ b/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
@@ -19,6 +19,14 @@
     }
 }
 
+/**
+ * The aims, as far as decisions follow from them.
+ *
+ * @property deadlineTimes by load, the multiples of its deadline that its jobs are measured by.
+ * @property guaranteeWithinS how soon work within a guarantee should start.
+ */
+class Objectives(val deadlineTimes: Map<String, List<Double>> = emptyMap(), val guaranteeWithinS: Double = 10.0)
+
 /** The settings file that the platform hands to every controller. Fields that we don't know are ignored. */
 class PlatformSettings(
     val member: MemberId,
@@ -30,8 +38,7 @@
     val state: Endpoint,
     val zones: List<String>,
     val teams: Map<TeamName, Team>,
-    /** By load, the multiples of its deadline that its jobs are measured by. */
-    val deadlineTimes: Map<String, List<Double>>,
+    val objectives: Objectives,
     val reportS: Double,
     val leaseS: Double,
     val cancelS: Double,
@@ -67,7 +74,7 @@
                         ?: throw BadSetting("deployment.zones: not strings")
                 },
                 teams = deployment.items("teams").map(::team).associateBy { it.name },
-                deadlineTimes = deadlineTimes(deployment),
+                objectives = objectives(deployment),
                 reportS = workers.positive("report_s"),
                 leaseS = workers.positive("lease_s"),
                 cancelS = workers.positive("cancel_s"),
@@ -85,12 +92,17 @@
             return settings
         }
 
-        private fun deadlineTimes(deployment: JsonNode): Map<String, List<Double>> = deployment
-            .present("objectives")
-            ?.filter { it.text("kind") == "deadline" && it.text("class") != null }
-            ?.groupBy({ it.text("class")!! }, { it.number("times") ?: 1.0 })
-            ?.mapValues { (_, times) -> times.sorted() }
-            .orEmpty()
+        private fun objectives(deployment: JsonNode): Objectives {
+            val usual = Objectives()
+            val stated = deployment.present("objectives")?.takeIf { it.isArray } ?: return usual
+            return Objectives(
+                deadlineTimes = stated
+                    .filter { it.text("kind") == "deadline" && it.text("class") != null }
+                    .groupBy({ it.text("class")!! }, { it.number("times") ?: 1.0 })
+                    .mapValues { (_, times) -> times.sorted() },
+                guaranteeWithinS = stated.firstOrNull { it.text("kind") == "guarantee" }?.number("within_s") ?: usual.guaranteeWithinS,
+            )
+        }
 
         private fun team(node: JsonNode) = Team(
             TeamName(node.words("name")),
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -303,7 +303,8 @@
             val place = JobPage.parse(name) ?: continue
             places += place
             val known = jobs[place.job]?.let { parts.present(it, place.page) }
-            if (known?.sheet == key && known.value.version == RecordCodec.versionOf(part)) continue
+            // The same, or older than what stands in another sheet.
+            if (known != null && known.value.version >= RecordCodec.versionOf(part)) continue
             parts.set(job(place.job, touched), place.page, part, key)
         }
         before?.places?.forEach { if (it !in places) removePart(key, it, parts, touched) }
--- a/src/main/kotlin/copperglade/storage/SheetPacker.kt
+++ b/src/main/kotlin/copperglade/storage/SheetPacker.kt
@@ -27,6 +27,12 @@
     private val fullBytes = minOf(limits.valueKb * BYTES_OF_KB * FULL, LARGEST_BYTES).toInt()
     private val busy = HashSet<String>()
 
+    /**
+     * Pages on their way. A page that is in no sheet yet must not go into a second one meanwhile: on a grown day two
+     * writes of one page came to stand in two sheets, the older was taken for the page, and finished jobs ran again.
+     */
+    private val busyPages = HashSet<JobPage>()
+
     private inner class Draft(val key: String) {
         val parts = LinkedHashMap<JobPage, ByteArray>()
         val changed = HashSet<JobPage>()
@@ -55,7 +61,7 @@
     }
 
     /** Whether no write is under way that the page's own would have to wait for. */
-    fun ready(job: Job, page: Int): Boolean = packed(job, page)?.sheet !in busy
+    fun ready(job: Job, page: Int): Boolean = JobPage(job.id, page) !in busyPages && packed(job, page)?.sheet !in busy
 
     /** The writes that bring about [changes]; those of sheets under way are left out. In order of the changes. */
     fun pack(changes: Map<JobPage, ByteArray>): List<SheetWrite> {
@@ -63,7 +69,7 @@
         val moved = HashMap<String, MutableList<Draft>>()
         for ((place, part) in changes) {
             val home = replica.jobs[place.job]?.let { packed(it, place.page)?.sheet }
-            if (home != null && home in busy) continue
+            if (place in busyPages || (home != null && home in busy)) continue
             val draft = when (home) {
                 null -> drafts.values.firstOrNull { fits(it.bytes, place, part) } ?: roomySheet(place, part, drafts)
                 else -> drafts[home] ?: Draft(home)
@@ -119,14 +125,19 @@
 
     fun begin(write: SheetWrite) {
         write.writes.forEach { busy += it.key }
+        busyPages += write.places
     }
 
     /** No sheet of [write] is on its way any more. */
     fun end(write: SheetWrite) {
         write.writes.forEach { busy -= it.key }
+        busyPages -= write.places
     }
 
-    fun endAll() = busy.clear()
+    fun endAll() {
+        busy.clear()
+        busyPages.clear()
+    }
 
     private companion object {
         const val BYTES_OF_KB = 1024
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -8,6 +8,7 @@
 import copperglade.protocol.JobSpecCodec
 import copperglade.protocol.Json
 import copperglade.protocol.MemberId
+import copperglade.protocol.Objectives
 import copperglade.protocol.ParsedJob
 import copperglade.protocol.Peer
 import copperglade.protocol.PlatformSettings
@@ -98,7 +99,7 @@
         state = STATE,
         zones = ZONES,
         teams = listOfNotNull(Team(TEAM, 16.0, toldCpusMax, 0.0, 0.0), otherTeam).associateBy { it.name },
-        deadlineTimes = emptyMap(),
+        objectives = Objectives(),
         reportS = REPORT_S,
         leaseS = toldLeaseS,
         cancelS = CANCEL_S,
--- a/src/test/kotlin/copperglade/standin/LocalSite.kt
+++ b/src/test/kotlin/copperglade/standin/LocalSite.kt
@@ -9,6 +9,7 @@
 import copperglade.protocol.JobSpecCodec
 import copperglade.protocol.Json
 import copperglade.protocol.MemberId
+import copperglade.protocol.Objectives
 import copperglade.protocol.ParsedJob
 import copperglade.protocol.Peer
 import copperglade.protocol.PlatformSettings
@@ -97,7 +98,7 @@
         state = STATE,
         zones = ZONES,
         teams = listOf(Team(TeamName("team"), 16.0, 48.0, 0.0, 0.0)).associateBy { it.name },
-        deadlineTimes = emptyMap(),
+        objectives = Objectives(),
         reportS = REPORT_S,
         leaseS = LEASE_S,
         cancelS = 30.0,
