--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -1,6 +1,5 @@
 package copperglade.coordination
 
-import copperglade.protocol.Baton
 import copperglade.protocol.BlockName
 import copperglade.protocol.JobId
 import copperglade.protocol.JobKind
@@ -11,25 +10,14 @@
 import copperglade.protocol.PeerNote
 import copperglade.protocol.Priority
 import copperglade.protocol.Resources
-import copperglade.protocol.Stamp
 import copperglade.protocol.Team
 import copperglade.protocol.TeamName
 import copperglade.storage.Assignment
-import copperglade.storage.AssignmentGroup
-import copperglade.storage.AssignmentPage
-import copperglade.storage.Condition
 import copperglade.storage.Job
 import copperglade.storage.JobPage
 import copperglade.storage.Keys
-import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
-import copperglade.storage.SheetPacker
-import copperglade.storage.SheetWrite
 import copperglade.storage.StateClient
-import copperglade.storage.Transaction
-import copperglade.storage.TransactionOutcome
-import copperglade.storage.Urgency
-import copperglade.storage.WorkPlace
 import copperglade.transport.EventLoop
 import org.slf4j.LoggerFactory
 import java.util.BitSet
@@ -61,27 +49,12 @@
     private val turns: Turns,
     private val noteOf: (MemberId) -> PeerNote?,
 ) {
-    /** Arrays are written again and again while they run, services once: apart, a round of arrays is few sheets. */
-    private val packers = JobKind.entries.associateWith { kind ->
-        SheetPacker(
-            replica,
-            store.limits,
-            Keys.sheetsOf(kind),
-            { job, page -> job.pages[page] },
-            { job, page -> job.pages[page]?.let { RecordCodec.encode(it.value) } },
-        )
-    }
+    private val writer = AssignmentWriter(loop, store, replica, leadership, roomBook)
     private val recall = Recall(teams)
     private var recalledAt = Moment.NEVER
 
-    /** Tasks whose assignment is on its way or of unknown outcome: they count as assigned. */
-    private val pending = HashMap<JobId, Int>()
-
-    /** The spell of leading that [pending] belongs to. */
-    private var term = Stamp.ABSENT
     private var unhurriedFrom = Moment.NEVER
     private var hurriedFrom = Moment.NEVER
-    private var unhurriedWrittenAt = Moment.NEVER
 
     /** A job's standing assignments at the beginning of a round. */
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
@@ -90,22 +63,8 @@
         val urgent get() = spec.priority <= Priority.HIGH
     }
 
-    private class Choice(val task: Int, val room: RoomBook.Room)
-
-    /** What a round has chosen, by the pages to be written. */
-    private class Decisions {
-        val choices = LinkedHashMap<JobPage, List<Choice>>()
-        val recalls = LinkedHashMap<JobPage, BitSet>()
-        val places get() = choices.keys + recalls.keys
-    }
-
-    private fun packerOf(job: Job): SheetPacker = packers.getValue(
-        job.live!!
-            .value.spec.kind,
-    )
-
     fun round() {
-        if (term != leadership.stamp) beginTerm()
+        writer.beginRound()
         val now = loop.now()
         val unhurried = now >= unhurriedFrom
         if (!unhurried && (now < hurriedFrom || replica.jobs.values.none(::urgentlyWaits))) return
@@ -133,7 +92,7 @@
             recalledAt = now
             recallBorrowed(all, uses, decisions)
         }
-        write(decisions)
+        writer.write(decisions)
     }
 
     /** What other teams have borrowed is stopped where a guarantee has been waiting for room. */
@@ -144,12 +103,12 @@
             .map { Claim(it.spec.team, it.spec.request, it.left - it.standing.size) }
         if (claims.isEmpty()) return
         val lent = all
-            .filter { !it.guaranteed && it.spec.kind == JobKind.ARRAY && it.job.id !in pending && it.job.id !in chosen }
+            .filter { !it.guaranteed && it.spec.kind == JobKind.ARRAY && !writer.pends(it.job.id) && it.job.id !in chosen }
             .map { Borrowed(it.job, it.spec, it.standing) }
         val used = uses.mapValues { it.value.used.cpus }
         for ((job, tasks) in recall.choose(claims, lent, used)) {
             tasks.groupBy { it.task / Keys.PAGE_TASKS }.forEach { (page, its) ->
-                if (packerOf(job).ready(job, page)) {
+                if (writer.ready(job, page)) {
                     decisions.recalls[JobPage(job.id, page)] = BitSet().apply { its.forEach { set(it.task) } }
                 }
             }
@@ -169,19 +128,13 @@
 
     private fun urgentlyWaits(job: Job): Boolean {
         val spec = job.spec ?: return false
-        if (spec.priority > Priority.HIGH || job.cancelled || job.id in pending) return false
+        if (spec.priority > Priority.HIGH || job.cancelled || writer.pends(job.id)) return false
         return job.assignments().size + job.done.cardinality() < spec.tasks
     }
 
-    private fun beginTerm() {
-        term = leadership.stamp
-        pending.clear()
-        packers.values.forEach { it.endAll() }
-    }
-
     private fun waits(candidate: Candidate): Boolean {
         val job = candidate.job
-        return job.id !in pending && !job.cancelled && !job.complete &&
+        return !writer.pends(job.id) && !job.cancelled && !job.complete &&
             candidate.standing.size + job.done.cardinality() < candidate.spec.tasks
     }
 
@@ -219,7 +172,7 @@
             val spec = job.spec ?: continue
             val standing = job.assignments()
             val use = uses[spec.team] ?: continue
-            use.used += spec.request * (standing.size + (pending[job.id] ?: 0))
+            use.used += spec.request * (standing.size + writer.pendingTasks(job.id))
             var guaranteed = false
             if (!job.complete && !job.cancelled) {
                 use.claimed += spec.request * (spec.tasks - job.done.cardinality())
@@ -257,7 +210,7 @@
             task = taken.nextClearBit(task + 1)
         }
         for ((page, chosen) in choices.groupBy { it.task / Keys.PAGE_TASKS }) {
-            if (packerOf(candidate.job).ready(candidate.job, page)) decisions.choices[JobPage(candidate.job.id, page)] = chosen
+            if (writer.ready(candidate.job, page)) decisions.choices[JobPage(candidate.job.id, page)] = chosen
         }
     }
 
@@ -336,166 +289,6 @@
         return PlacementCost.of(spec, types[machine.type], machine.spot, spec.image.name in machine.images, preempts)
     }
 
-    /** The page with the [choices] added, and without the tasks that are done or given back. */
-    private fun pageWith(job: Job, page: Int, choices: List<Choice>, recalls: BitSet?): AssignmentPage {
-        val present = job.pages[page]?.value ?: AssignmentPage.EMPTY
-        val groups = standingGroups(job, page, present)
-        val generation = present.lastGeneration + 1
-        var frontier = present.frontier
-        for ((block, chosen) in choices.groupBy { it.room.block }) {
-            val baton = Baton(
-                replica.blocks
-                    .getValue(block)
-                    .stamp.number,
-            )
-            val again = BitSet()
-            val first = BitSet()
-            chosen.forEach { if (it.task < present.frontier) again.set(it.task) else first.set(it.task) }
-            // A task that was never assigned can't have been given back, so it may share a group that stands already:
-            // a group for every round would outgrow the value.
-            val joined = groups.indexOfFirst { it.block == block && it.baton == baton }
-            if (!first.isEmpty && joined >= 0) {
-                val group = groups[joined]
-                val tasks = group.tasks.clone() as BitSet
-                tasks.or(first)
-                groups[joined] = AssignmentGroup(block, baton, group.generation, tasks)
-            } else {
-                again.or(first)
-            }
-            if (!again.isEmpty) groups += AssignmentGroup(block, baton, generation, again)
-            frontier = maxOf(frontier, chosen.maxOf { it.task } + 1)
-        }
-        val recalled = present.recalled.clone() as BitSet
-        choices.forEach { recalled.clear(it.task) }
-        recalls?.let(recalled::or)
-        return AssignmentPage(groups, recalled, generation, frontier, present.version + 1)
-    }
-
-    private fun standingGroups(job: Job, page: Int, present: AssignmentPage): ArrayList<AssignmentGroup> {
-        val groups = ArrayList<AssignmentGroup>()
-        for (group in present.groups) {
-            val tasks = group.tasks.clone() as BitSet
-            tasks.andNot(job.done)
-            job.works[WorkPlace(page, group.block)]
-                ?.value
-                ?.returned
-                ?.get(group.generation)
-                ?.let(tasks::andNot)
-            if (!tasks.isEmpty) groups += AssignmentGroup(group.block, group.baton, group.generation, tasks)
-        }
-        return groups
-    }
-
-    private fun write(decisions: Decisions) {
-        val changes = LinkedHashMap<JobPage, ByteArray>()
-        for (place in decisions.places) {
-            val choices = decisions.choices[place].orEmpty()
-            if (choices.any { it.room.block !in replica.blocks }) continue
-            val job = replica.jobs.getValue(place.job)
-            changes[place] = RecordCodec.encode(pageWith(job, place.page, choices, decisions.recalls[place]))
-        }
-        // No more than can be written now: what must wait is decided later, with more room at a time. Otherwise a
-        // queue of decisions about lesser work would hold up the urgent ones behind it.
-        var affordable = store.affordableAssignments()
-        for (sheet in pack(changes)) {
-            val urgent = sheet.places.any { replica.jobs[it.job]?.spec?.let { spec -> spec.priority <= Priority.HIGH } ?: false }
-            if (!urgent) {
-                // However little there is, some of it is theirs.
-                if (affordable <= store.keptForUrgent && loop.now() < unhurriedWrittenAt + LONGEST_WITHOUT) {
-                    store.missed(sheet.writes.size)
-                    continue
-                }
-                unhurriedWrittenAt = loop.now()
-            }
-            affordable -= sheet.writes.size
-            commit(sheet, sheet.places.associateWith { decisions.choices[it].orEmpty() })
-        }
-    }
-
-    /** Services first: they are the urgent ones as a rule. */
-    private fun pack(changes: Map<JobPage, ByteArray>): List<SheetWrite> = packers.entries
-        .sortedBy { it.key != JobKind.SERVICE }
-        .flatMap { (kind, packer) -> packer.pack(changes.filterKeys { replica.jobs[it.job]?.spec?.kind == kind }) }
-
-    private fun commit(sheet: SheetWrite, choices: Map<JobPage, List<Choice>>) {
-        val conditions = LinkedHashSet<Condition>()
-        conditions += leadership.condition
-        conditions += sheet.conditions
-        for ((place, chosen) in choices) {
-            conditions += Condition(Keys.live(place.job), replica.jobs.getValue(place.job).liveStamp())
-            chosen.mapTo(conditions) { Condition(Keys.block(it.room.block), replica.blocks.getValue(it.room.block).stamp) }
-        }
-        if (conditions.size > store.limits.transactionConditions) return commitPart(choices)
-        val transaction = Transaction(conditions.toList(), sheet.writes)
-        val counts = HashMap<JobId, Int>()
-        choices.forEach { (place, chosen) -> counts.merge(place.job, chosen.size, Int::plus) }
-        counts.forEach { (job, count) -> pending.merge(job, count, Int::plus) }
-        sheet.packer.begin(sheet)
-        val spell = term
-        store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
-            if (spell != term) return@commit
-            when (outcome) {
-                is TransactionOutcome.Applied -> {
-                    log.debug("{} assigned", counts)
-                    for ((place, chosen) in choices) {
-                        val request = replica.jobs[place.job]?.spec?.request ?: Resources.ZERO
-                        chosen.forEach { roomBook.gave(it.room, outcome.stamp, request) }
-                    }
-                    replica.applied(transaction, outcome.stamp)
-                    settled(sheet, counts)
-                }
-                TransactionOutcome.Refused -> loop.after(AFTER_REFUSAL) { if (spell == term) settled(sheet, counts) }
-                // Somebody cancelled, a block changed hands: surely not applied, but what stood in the way must be known.
-                is TransactionOutcome.Conflict -> replica.fresh { if (spell == term) settled(sheet, counts) }
-                TransactionOutcome.Unknown, TransactionOutcome.NoSuchPermit -> unsettled(sheet, counts, spell)
-            }
-        }
-    }
-
-    /** Too many jobs for one transaction: the first half of them now, the others in a later round. */
-    private fun commitPart(choices: Map<JobPage, List<Choice>>) {
-        if (choices.size < 2) return log.warn("assignments of {} need too many conditions", choices.keys)
-        val part = choices.entries.take(choices.size / 2).associate { it.key to it.value }
-        val changes = part.mapValues { (place, chosen) ->
-            RecordCodec.encode(pageWith(replica.jobs.getValue(place.job), place.page, chosen, recalls = null))
-        }
-        pack(changes).forEach { sheet -> commit(sheet, sheet.places.associateWith { part.getValue(it) }) }
-    }
-
-    private fun settled(sheet: SheetWrite, counts: Map<JobId, Int>) {
-        sheet.packer.end(sheet)
-        counts.forEach { (job, count) -> pending.computeIfPresent(job) { _, sum -> (sum - count).takeIf { it > 0 } } }
-    }
-
-    /**
-     * A write of unknown outcome may be applied at any later time, as long as its sheets are what they were. Its tasks
-     * count as assigned until a reading shows that the sheets have changed, by that write or by one of ours: giving
-     * their share to others on the word of a reading alone could put a team over its limit.
-     */
-    private fun unsettled(sheet: SheetWrite, counts: Map<JobId, Int>, spell: Stamp) {
-        val again = { loop.after(AFTER_REFUSAL) { unsettled(sheet, counts, spell) } }
-        replica.fresh { known ->
-            if (spell != term) return@fresh
-            if (!known) return@fresh again()
-            val changed = sheet.conditions.any {
-                replica.sheets[it.key]?.stamp != it.stamp &&
-                    (it.key in replica.sheets || it.stamp != Stamp.ABSENT)
-            }
-            if (changed) return@fresh settled(sheet, counts)
-            val same = sheet.packer.same(sheet)
-            val transaction = Transaction(listOf(leadership.condition) + same.conditions, same.writes)
-            store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
-                if (spell != term) return@commit
-                if (outcome is TransactionOutcome.Applied) {
-                    replica.applied(transaction, outcome.stamp)
-                    settled(sheet, counts)
-                } else {
-                    again()
-                }
-            }
-        }
-    }
-
     private companion object {
         val ONCE = listOf(1.0)
         const val MOST_TASKS = 2000
@@ -509,10 +302,8 @@
         const val FURTHER_BLOCK_S = 0.4
         const val FIRST_BLOCKS = 2
         val HURRIED_GATHERING = 500.milliseconds
-        val LONGEST_WITHOUT = 1500.milliseconds
         val SHORTEST_GATHERING = 150.milliseconds
         val LONGEST_GATHERING = 1000.milliseconds
-        val AFTER_REFUSAL = 200.milliseconds
         val RECALL_PACE = 1.seconds
         const val RECALL_AFTER_S = 3.0
         val log = LoggerFactory.getLogger("assigner")
