--- a/src/main/kotlin/copperglade/storage/Records.kt
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -141,7 +141,7 @@
 
     /** All that a starting controller has to read. */
     const val NOW = "cg/now/"
-    private const val OVER = "cg/over/"
+    const val OVER = "cg/over/"
     const val LEAD = "cg/now/lead"
 
     /** Tasks a page: a page of the most scattered ranges stays far below the smallest value limit. */
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -55,6 +55,9 @@
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var pulling = false
     private var watching = false
+    private val endsAsked = LinkedHashMap<JobId, ArrayList<(ReadOutcome) -> Unit>>()
+    private var readingEnds = false
+    private var endsLoaded = false
     private var lastReading = Moment.NEVER
 
     /** The packed records, by key. */
@@ -107,6 +110,10 @@
                 moveTo(ReplicaState.CURRENT, "${jobs.size} live jobs read at revision $start")
                 announce(touched)
                 watch()
+                if (!endsLoaded) {
+                    endsLoaded = true
+                    loop.after(ENDS_PACE) { loadEnds(null) }
+                }
                 pullIfAsked()
             }
         }
@@ -341,15 +348,59 @@
     /** The end of a job, as far as it is remembered here. It never changes once written. */
     fun endOf(id: JobId): EndRecord? = over[id]
 
-    /** Reads the end of a job from the service. */
-    fun readEnd(id: JobId, done: (ReadOutcome) -> Unit) = store.read(Keys.over(id)) { outcome ->
-        if (outcome is ReadOutcome.Found) RecordCodec.decodeEnd(outcome.value)?.let { over[id] = it }
-        done(outcome)
+    /**
+     * Reads the end of a job from the service, in order of asking. What is found is remembered even where the asker has
+     * given up, so that its next question is answered at once: left to whoever asks in a lucky moment, some of the jobs
+     * asked for after a restart would get no answer for minutes. Beyond the queue, the answer is no answer, at once.
+     */
+    fun readEnd(id: JobId, done: (ReadOutcome) -> Unit) {
+        val waiting = endsAsked[id]
+        when {
+            waiting != null && waiting.size < MOST_ASKERS -> waiting += done
+            waiting != null || endsAsked.size >= MOST_ENDS_ASKED -> done(ReadOutcome.Failed)
+            else -> {
+                endsAsked[id] = arrayListOf(done)
+                readEnds()
+            }
+        }
+    }
+
+    private fun readEnds() {
+        while (endsAsked.isNotEmpty() && store.mayRead()) {
+            val (id, waiting) = endsAsked.entries.first()
+            // Whoever asks from now on is not served by this reading: it may be older than the question.
+            endsAsked.remove(id)
+            store.read(Keys.over(id)) { outcome ->
+                if (outcome is ReadOutcome.Found) RecordCodec.decodeEnd(outcome.value)?.let { over[id] = it }
+                waiting.forEach { it(outcome) }
+            }
+        }
+        if (endsAsked.isEmpty() || readingEnds) return
+        readingEnds = true
+        loop.after(pace) {
+            readingEnds = false
+            readEnds()
+        }
+    }
+
+    /** What users may ask for at once after a restart: the ends of jobs, as many as are remembered, a page at a time. */
+    private fun loadEnds(from: String?) {
+        store.list(Keys.OVER, from) { listing ->
+            listing?.entries?.forEach { entry ->
+                val id = (Keys.parse(entry.key) as? ParsedKey.Over)?.job
+                if (id != null) RecordCodec.decodeEnd(entry.value)?.let { over[id] = it }
+            }
+            val next = if (listing == null) from else listing.entries.lastOrNull()?.key
+            if ((listing == null || listing.more) && over.size < MOST_ENDED) loop.after(ENDS_PACE) { loadEnds(next) }
+        }
     }
 
     companion object {
         private const val MOST_ENDED = 10_000
         private const val MOST_WAITING = 2_000
+        private const val MOST_ENDS_ASKED = 500
+        private const val MOST_ASKERS = 8
+        private val ENDS_PACE = 1.seconds
         private val RETRY = 250.milliseconds
         private val WATCH_WAIT = 10.seconds
         private val QUIET = 1500.milliseconds
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -232,6 +232,9 @@
         }
     }
 
+    /** Whether the budget has room for a reading that nothing else waits for. */
+    fun mayRead(): Boolean = requests.available(loop.now()) >= 1
+
     fun read(key: String, done: (ReadOutcome) -> Unit) {
         if (!requests.tryTake(1, loop.now())) {
             done(ReadOutcome.Failed)
--- a/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
@@ -3,6 +3,8 @@
 import copperglade.protocol.JobId
 import copperglade.protocol.Team
 import copperglade.protocol.TeamName
+import copperglade.transport.Method
+import copperglade.transport.Request
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -75,6 +77,24 @@
         assertEquals(emptyList<String>(), site.breaches)
     }
 
+    @Test
+    fun `after a restart of all controllers thousands of finished jobs are answered, each by itself`() {
+        val site = SimSite(Simulation(33), nodes = 5, endedBefore = 3000)
+        site.run(5.0)
+        (0 until site.nodes).forEach { site.crash(it, 200.0) }
+        val asked = HashMap<Int, Boolean>()
+
+        fun ask(number: Int) {
+            site.request(Request(Method.GET, "/submissions/job-${SimSite.ENDED_FROM + number}")) { reply ->
+                if (reply?.status == 200) asked[number] = true else site.sim.after(5000.0) { ask(number) }
+            }
+        }
+        repeat(3000) { site.sim.after(1000.0 + it) { ask(it) } }
+        site.run(30.0)
+        assertEquals(3000, asked.size)
+        assertEquals(emptyList<String>(), site.breaches)
+    }
+
     @Test
     fun `the referee sees a single job that gets no answer among many that do`() {
         val site = SimSite(Simulation(32))
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -6,6 +6,7 @@
 import copperglade.protocol.JobId
 import copperglade.protocol.JobSpec
 import copperglade.protocol.JobSpecCodec
+import copperglade.protocol.JobStatus
 import copperglade.protocol.Json
 import copperglade.protocol.MemberId
 import copperglade.protocol.Objectives
@@ -22,6 +23,9 @@
 import copperglade.standin.StandInWorker
 import copperglade.standin.WorkerSite
 import copperglade.standin.World
+import copperglade.storage.EndRecord
+import copperglade.storage.Keys
+import copperglade.storage.RecordCodec
 import copperglade.transport.Method
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -42,6 +46,8 @@
     private val toldCpusMax: Double = teamCpus,
     val nodes: Int = 3,
     private val otherTeam: Team? = null,
+    /** So many jobs were over before this day began. */
+    endedBefore: Int = 0,
 ) : World {
     val network = SimNetwork(sim)
     private val worldLoop = SimLoop(sim)
@@ -78,6 +84,7 @@
     init {
         network.listen(STATE, "state", worldLoop, state)
         network.listen(CLOUD, "cloud", worldLoop, cloud)
+        repeat(endedBefore) { state.put(Keys.over(JobId("job-${ENDED_FROM + it}")), RecordCodec.encode(EndRecord(JobStatus.DONE, 1))) }
         repeat(nodes) { startController(it) }
     }
 
@@ -361,6 +368,7 @@
         const val SLOW = 0.25
         const val DRIFT = 0.0001
         const val FORGOTTEN_S = 75.0
+        const val ENDED_FROM = 100_000
         val ZONES = listOf("north", "south")
         val TEAM = TeamName("team")
         private val STATE = Endpoint("10.2.0.1", 2379)
--- a/src/test/kotlin/copperglade/standin/StandInState.kt
+++ b/src/test/kotlin/copperglade/standin/StandInState.kt
@@ -47,6 +47,11 @@
             if (!on) holds.values.forEach { it.until = loop.now() + it.ttlMs.milliseconds }
         }
 
+    /** Puts a value there as from an earlier day. */
+    fun put(key: String, value: ByteArray) {
+        values[key] = Value(Json.read(value)!!, ledger, null)
+    }
+
     fun keys(prefix: String): List<String> = values.tailMap(prefix).keys.takeWhile { it.startsWith(prefix) }
 
     private fun tick() {
