--- a/src/main/kotlin/copperglade/app/Main.kt
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -54,7 +54,9 @@
         /** Starts a controller in this process; it goes on by itself. */
         fun run(settings: PlatformSettings, tuning: Tuning) {
             val loop = NettyEventLoop()
-            val controller = Controller(loop, NettyHttpCaller(loop.group), settings, tuning)
+            val always = settings.peers.mapTo(hashSetOf(settings.state, settings.cloud)) { it.endpoint }
+            val caller = NettyHttpCaller(loop.group, settings.socketLimit * WORKERS_PERCENT / 100, always)
+            val controller = Controller(loop, caller, settings, tuning)
             NettyHttpServer(loop.group, settings.socketLimit * USERS_PERCENT / 100, controller.clientHandler)
                 .listen(settings.clientListen)
             NettyHttpServer(loop.group, settings.socketLimit * PEERS_PERCENT / 100, controller.clusterHandler)
@@ -62,8 +64,14 @@
             loop.after(Duration.ZERO) { controller.start() }
         }
 
-        private const val USERS_PERCENT = 70
-        private const val PEERS_PERCENT = 10
+        /**
+         * Of the sockets, by who is at the other end: users and workers that call us, the other controllers, workers that we
+         * call. What is left is for files, the state service and the cloud. A single controller that is left may have all
+         * workers on both sides.
+         */
+        private const val USERS_PERCENT = 52
+        private const val PEERS_PERCENT = 4
+        private const val WORKERS_PERCENT = 34
     }
 }
 
--- a/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
+++ b/src/main/kotlin/copperglade/bookkeeping/Profiles.kt
@@ -20,17 +20,17 @@
     val neighbours: Int,
 ) {
     /**
-     * The distance from [other] along each factor, from 0 to 1. Names either agree or don't; amounts count by their
+     * The distance from [other] along factor [k], from 0 to 1. Names either agree or don't; amounts count by their
      * relative difference, so that no unit outweighs another before the weights have been fitted.
      */
-    fun apart(other: Factors): DoubleArray = doubleArrayOf(
-        if (load == other.load) 0.0 else 1.0,
-        if (job == other.job) 0.0 else 1.0,
-        if (type == other.type) 0.0 else 1.0,
-        relative(request.cpus + request.gpus, other.request.cpus + other.request.gpus),
-        relative(request.memoryGb, other.request.memoryGb),
-        relative(neighbours.toDouble(), other.neighbours.toDouble()),
-    )
+    fun apart(other: Factors, k: Int): Double = when (k) {
+        0 -> if (load == other.load) 0.0 else 1.0
+        1 -> if (job == other.job) 0.0 else 1.0
+        2 -> if (type == other.type) 0.0 else 1.0
+        3 -> relative(request.cpus + request.gpus, other.request.cpus + other.request.gpus)
+        4 -> relative(request.memoryGb, other.request.memoryGb)
+        else -> relative(neighbours.toDouble(), other.neighbours.toDouble())
+    }
 
     private fun relative(a: Double, b: Double): Double {
         val larger = max(a, b)
@@ -61,9 +61,11 @@
 
     /** Formula (1). */
     fun distance(a: Factors, b: Factors): Double {
-        val apart = a.apart(b)
         var sum = 0.0
-        for (k in apart.indices) sum += values[k] * apart[k] * apart[k]
+        for (k in 0 until Factors.COUNT) {
+            val apart = a.apart(b, k)
+            sum += values[k] * apart * apart
+        }
         return sqrt(sum)
     }
 
@@ -73,7 +75,7 @@
      * a factor.
      */
     fun step(task: Profile, other: Profile) {
-        val apart = task.factors.apart(other.factors)
+        val apart = DoubleArray(Factors.COUNT) { task.factors.apart(other.factors, it) }
         var calculated = 0.0
         for (k in apart.indices) calculated += (1.0 - apart[k]) * values[k]
         val error = calculated - realLikeness(task.runS, Prediction(listOf(other.runS)))
@@ -103,6 +105,9 @@
 ) {
     private val profiles = ArrayDeque<Profile>()
     private val weights = HashMap<MachineName, Weights>()
+
+    /** A machine's latest tasks, newest first: as many as a fit looks at. */
+    private val latestOf = HashMap<MachineName, ArrayDeque<Profile>>()
     private val ofJob = HashMap<JobId, Tally>()
     private val ofLoad = HashMap<String, Tally>()
     private var speeds: Map<MachineName, Double> = emptyMap()
@@ -123,13 +128,10 @@
 
     fun record(profile: Profile) {
         val fitted = weights.getOrPut(profile.machine) { Weights(rate) }
-        profiles
-            .asReversed()
-            .asSequence()
-            .filter {
-                it.machine == profile.machine
-            }.take(steps)
-            .forEach { fitted.step(profile, it) }
+        val latest = latestOf.getOrPut(profile.machine) { ArrayDeque() }
+        latest.forEach { fitted.step(profile, it) }
+        latest.addFirst(profile)
+        if (latest.size > steps) latest.removeLast()
         profiles.addLast(profile)
         count(profile, 1)
         if (profiles.size > capacity) count(profiles.removeFirst(), -1)
@@ -160,20 +162,30 @@
     /** The run times of the nearest of [past], for a task that would run on [machine]. */
     fun predict(machine: MachineName, factors: Factors, past: List<Past>): Prediction? {
         val fitted = weights[machine] ?: UNFITTED
-        val times = past
-            .map { Near(fitted.distance(it.profile.factors, factors), it.averageMachineS) }
-            .sortedBy { it.distance }
-            .take(nearest)
-            .map { it.averageMachineS / speedOf(machine) }
-            .sorted()
-        return if (times.size < FEWEST) null else Prediction(times)
+        val distances = DoubleArray(nearest)
+        val times = DoubleArray(nearest)
+        var found = 0
+        // The few nearest are kept in order: sorting all of them for every option cost more than weighing the options.
+        for (one in past) {
+            val distance = fitted.distance(one.profile.factors, factors)
+            if (found == nearest && distance >= distances[found - 1]) continue
+            var place = if (found < nearest) found++ else found - 1
+            while (place > 0 && distances[place - 1] > distance) {
+                distances[place] = distances[place - 1]
+                times[place] = times[place - 1]
+                place--
+            }
+            distances[place] = distance
+            times[place] = one.averageMachineS
+        }
+        if (found < FEWEST) return null
+        val speed = speedOf(machine)
+        return Prediction(times.take(found).map { it / speed }.sorted())
     }
 
     fun predict(machine: MachineName, factors: Factors, doneS: Double = 0.0): Prediction? =
         predict(machine, factors, similar(factors.load, doneS))
 
-    private class Near(val distance: Double, val averageMachineS: Double)
-
     /** How fast a machine has proved to be, 1 for the average: the paper assumes that machines keep their speed. */
     fun speedOf(machine: MachineName): Double {
         // They hardly change with one task more.
@@ -216,6 +228,7 @@
 
     fun forgetMachine(machine: MachineName) {
         weights.remove(machine)
+        latestOf.remove(machine)
     }
 
     private companion object {
--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -76,10 +76,10 @@
         // for each new service took the whole budget of a grown day's burst, and for 90 s no array was assigned.
         hurriedFrom = now + HURRIED_GATHERING * (1.0 - store.writeLevel())
         if (unhurried) unhurriedFrom = now + SHORTEST_GATHERING + LONGEST_GATHERING * (1.0 - store.writeLevel())
-        val rooms = roomBook.rooms(noteOf).filterTo(ArrayList()) { it.machine.usable }
-        if (rooms.isEmpty()) return
+        val rooms = Rooms(roomBook.rooms(noteOf).filter { it.machine.usable })
+        if (rooms.all.isEmpty()) return
         val decisions = Decisions()
-        val poolCpus = rooms.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
+        val poolCpus = rooms.all.sumOf { room -> room.machine.free.cpus + room.machine.yielding.sumOf { it.cpus } }.coerceAtLeast(1.0)
         val (urgent, others) = order(waiting, poolCpus).partition { it.urgent }
         val inTurn = turns.of(others.map(::longWaiting), poolCpus)
         val first = inTurn.mapTo(HashSet()) { it.first }
@@ -183,11 +183,14 @@
         return candidates
     }
 
-    private fun assign(candidate: Candidate, use: TeamUse, rooms: List<RoomBook.Room>, decisions: Decisions, most: Int) {
+    private fun assign(candidate: Candidate, use: TeamUse, rooms: Rooms, decisions: Decisions, most: Int) {
         val spec = candidate.spec
+        val first = use.used + spec.request
+        if (!use.team.allows(first.cpus, first.gpus)) return
         val taken = candidate.job.done.clone() as BitSet
         candidate.standing.forEach { taken.set(it.task) }
         val zones = ZoneCount(spec, candidate.standing.map { zoneOf(it.block) })
+        if (rooms.surelyFullFor(spec)) return keepRoom(spec, zones, rooms)
         val places = places(candidate, zones, rooms).iterator()
         val choices = ArrayList<Choice>()
         var place = if (places.hasNext()) places.next() else null
@@ -200,6 +203,7 @@
                 place = if (places.hasNext()) places.next() else null
             }
             if (place == null) {
+                rooms.fullFor(spec)
                 keepRoom(spec, zones, rooms)
                 break
             }
@@ -214,6 +218,23 @@
         }
     }
 
+    /** The rooms of a round, and which tasks have found none any more: in an overload, hundreds of jobs ask for the same. */
+    private class Rooms(val all: List<RoomBook.Room>) {
+        val blocks: List<BlockName> = all.mapTo(LinkedHashSet()) { it.block }.toList()
+        private val unplaced = ArrayList<JobSpec>()
+
+        /** No place is left for a task of [spec]; nothing makes room in a round. */
+        fun fullFor(spec: JobSpec) {
+            if (!spec.oneZone && !spec.spread && unplaced.size < MOST_UNPLACED) unplaced += spec
+        }
+
+        /** Whether a task that asks for no more, and may go wherever this one may, has found no place. */
+        fun surelyFullFor(spec: JobSpec): Boolean = unplaced.any {
+            it.request.fitsIn(spec.request) && it.priority <= spec.priority && (it.spotAllowed || !spec.spotAllowed) &&
+                (it.types == null || it.types == spec.types) && (it.zone == null || it.zone == spec.zone)
+        }
+    }
+
     /** What `oneZone` and `spread` leave open, given the job's other tasks. */
     private class ZoneCount(private val spec: JobSpec, standing: List<String>) {
         private val counts = HashMap<String, Int>()
@@ -233,7 +254,7 @@
     /** A machine with room for tasks of a job, as it is or by stopping lower work, and what a task costs there. */
     private class Place(val room: RoomBook.Room, val preempts: Boolean, val cost: Double) {
         fun holds(spec: JobSpec): Boolean = !room.kept &&
-            if (preempts) spec.request.fitsIn(withYielding(room, spec)) else spec.request.fitsIn(room.free)
+            if (preempts) room.holdsYielding(spec) else spec.request.fitsIn(room.free)
 
         fun take(spec: JobSpec) {
             room.free -= spec.request
@@ -250,36 +271,40 @@
     private fun zoneOf(block: BlockName) = block.text.substringBeforeLast('.')
 
     /** Lets the machine that comes closest to holding the task gather room for it. */
-    private fun keepRoom(spec: JobSpec, zones: ZoneCount, rooms: List<RoomBook.Room>) {
-        rooms
-            .filter { !it.kept && spec.allows(it.machine.type, it.machine.zone, it.machine.spot) && zones.allows(it.machine.zone) }
-            .maxByOrNull { it.free.cpus }
-            ?.kept = true
+    private fun keepRoom(spec: JobSpec, zones: ZoneCount, rooms: Rooms) {
+        var roomiest: RoomBook.Room? = null
+        for (room in rooms.all) {
+            if (room.kept || (roomiest != null && room.free.cpus <= roomiest.free.cpus)) continue
+            val machine = room.machine
+            if (spec.allows(machine.type, machine.zone, machine.spot) && zones.allows(machine.zone)) roomiest = room
+        }
+        roomiest?.kept = true
     }
 
     /** The places for a job's tasks, cheapest first, then fullest: weighed once a job, not once a task. */
-    private fun places(candidate: Candidate, zones: ZoneCount, rooms: List<RoomBook.Room>): List<Place> {
+    private fun places(candidate: Candidate, zones: ZoneCount, rooms: Rooms): List<Place> {
         val spec = candidate.spec
         val blocks = blocksFor(candidate, rooms)
         val places = ArrayList<Place>()
-        for (room in rooms) {
+        for (room in rooms.all) {
+            if (room.kept) continue
+            val fits = spec.request.fitsIn(room.free)
+            val preempts = room.holdsYielding(spec)
+            if (!fits && !preempts) continue
             val machine = room.machine
+            if (!spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
             val further = if (room.block in blocks) 0.0 else FURTHER_BLOCK_S
-            if (room.kept || !spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
-            if (spec.request.fitsIn(room.free)) {
-                places += Place(room, preempts = false, cost(spec, room, preempts = false) + further)
-            }
-            if (yields(room, spec) && spec.request.fitsIn(withYielding(room, spec))) {
-                places += Place(room, preempts = true, cost(spec, room, preempts = true) + further)
-            }
+            if (fits) places += Place(room, preempts = false, cost(spec, room, preempts = false) + further)
+            if (preempts) places += Place(room, preempts = true, cost(spec, room, preempts = true) + further)
         }
-        return places.sortedWith(compareBy({ it.cost }, { it.room.free.cpus }))
+        places.sortWith(BY_COST)
+        return places
     }
 
     /** Where a job's tasks had better be: few blocks have few records of it to write. */
-    private fun blocksFor(candidate: Candidate, rooms: List<RoomBook.Room>): Set<BlockName> {
+    private fun blocksFor(candidate: Candidate, rooms: Rooms): Set<BlockName> {
         if (candidate.standing.isNotEmpty()) return candidate.standing.mapTo(HashSet()) { it.block }
-        val all = rooms.mapTo(LinkedHashSet()) { it.block }.toList()
+        val all = rooms.blocks
         val first = Math.floorMod(candidate.job.id.hashCode(), all.size)
         return (0 until FIRST_BLOCKS).mapTo(HashSet()) { all[(first + it) % all.size] }
     }
@@ -292,6 +317,7 @@
     private companion object {
         val ONCE = listOf(1.0)
         const val MOST_TASKS = 2000
+        const val MOST_UNPLACED = 16
         const val MS = 1000.0
         const val SMALLEST_CPUS = 0.01
 
@@ -308,10 +334,10 @@
         const val RECALL_AFTER_S = 3.0
         val log = LoggerFactory.getLogger("assigner")
 
-        fun yields(room: RoomBook.Room, spec: JobSpec) =
-            (spec.priority.ordinal + 1..room.yielding.lastIndex).any { room.yielding[it].cpus > 0.0 }
-
-        fun withYielding(room: RoomBook.Room, spec: JobSpec): Resources =
-            (spec.priority.ordinal + 1..room.yielding.lastIndex).fold(room.free) { sum, lower -> sum + room.yielding[lower] }
+        /** Cheapest first, then fullest. */
+        val BY_COST = Comparator<Place> { a, b ->
+            val byCost = a.cost.compareTo(b.cost)
+            if (byCost != 0) byCost else a.room.free.cpus.compareTo(b.room.free.cpus)
+        }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -67,9 +67,9 @@
     /** By then, every worker that only a former owner answered has lost its lease. */
     private val strangersGoneAt = openedAt + (context.leaseS * (1 + Hold.DRIFT) + LEASE_MARGIN_S).seconds
     private var trips = 0
-    private val runs = HashMap<JobId, HashMap<Int, Run>>()
+    private val runs = RunTable()
     private val failures = HashMap<JobId, Int>()
-    private val stragglers = StragglerWatch(context)
+    private val stragglers = StragglerWatch(context, ::requestOf)
     val machines = HashMap<MachineName, Machine>()
     private val departures = Departures()
 
@@ -119,16 +119,16 @@
         for (assignment in job.assignments()) {
             if (assignment.block != name) continue
             standing += assignment.task
-            val known = runs[job.id]?.get(assignment.task)
+            val known = runs[TaskId(job.id, assignment.task)]
             val run = if (known == null ||
                 (known.generation != assignment.generation && known.state == RunState.GONE)
             ) {
                 val state = if (assignment.baton in tenure) RunState.WAITING else RunState.MISSING
                 val task = TaskId(job.id, assignment.task)
                 val fresh =
-                    Run(task, live.value.spec, assignment.generation, live.value.acceptedAtMs, state, loop.now())
+                    Run(task, live.value.spec, assignment.generation, live.value.acceptedAtMs, state, loop.now(), runs::moved)
                 fresh.restarted = job.restarted(assignment.task)
-                runs.getOrPut(job.id) { HashMap() }[assignment.task] = fresh
+                runs.add(fresh)
                 fresh
             } else {
                 known
@@ -136,26 +136,21 @@
             if (assignment.recalled) stop(run, StopReason.RECALLED)
             if (job.cancelled) stop(run, StopReason.CANCELLED)
         }
-        val mine = runs[job.id] ?: return
-        mine.values.filter { it.task.index !in standing }.forEach(::forget)
+        runs.of(job.id).filter { it.task.index !in standing }.forEach(::forget)
     }
 
     fun drop(job: JobId) {
-        runs[job]?.values?.toList()?.forEach(::forget)
+        runs.of(job).toList().forEach(::forget)
         failures.remove(job)
     }
 
     /** The record of its outcome stands; whatever its machine still reports of it is swept up as a stray. */
     private fun forget(run: Run) {
         run.unbind()
-        val mine = runs[run.task.job] ?: return
-        mine.remove(run.task.index)
-        if (mine.isEmpty()) runs.remove(run.task.job)
+        runs.remove(run)
     }
 
-    private fun allRuns(): Sequence<Run> = runs.values.asSequence().flatMap { it.values.asSequence() }
-
-    fun runsOf(job: JobId): Collection<Run> = runs[job]?.values.orEmpty()
+    fun runsOf(job: JobId): Collection<Run> = runs.of(job)
 
     /** Stops a run, or gives it back at once where it is on no machine. */
     private fun stop(run: Run, reason: StopReason) {
@@ -311,7 +306,7 @@
     }
 
     private fun adopt(machine: Machine, box: Box) {
-        val run = runs[box.task.job]?.get(box.task.index) ?: return
+        val run = runs[box.task] ?: return
         if (run.state != RunState.MISSING) return
         if (box.state == BoxState.EXITED && box.cause != ExitCause.DONE) return
         run.bind(machine, box.trip)
@@ -402,7 +397,7 @@
     // ---- commands ----
 
     private fun requestOf(task: TaskId): Resources? =
-        runs[task.job]?.get(task.index)?.spec?.request ?: context.replica.jobs[task.job]
+        runs[task]?.spec?.request ?: context.replica.jobs[task.job]
             ?.spec
             ?.request
 
@@ -455,7 +450,7 @@
     private fun markSent(commands: List<Command>, machine: Machine) {
         val now = loop.now()
         for (command in commands) {
-            val run = runs[command.task.job]?.get(command.task.index)?.takeIf {
+            val run = runs[command.task]?.takeIf {
                 it.trip == command.trip &&
                     it.machine === machine
             }
@@ -549,6 +544,7 @@
 
     private fun remove(machine: Machine) {
         machines.remove(machine.name)
+        context.profiles.forgetMachine(machine.name)
         departures.expired(machine.name, machine.session)
         machine.runs.toList().forEach { lost(it, "${machine.name} is gone") }
     }
@@ -558,8 +554,8 @@
      * baton or has lost its lease. The cloud's list can't shorten the wait: it lags.
      */
     private fun findMissing(now: Moment) {
-        if (now < strangersGoneAt || machines.values.any { !fenced(it) && !it.ours }) return
-        val missing = allRuns().filter { it.state == RunState.MISSING }.toList()
+        val missing = runs.missing
+        if (missing.isEmpty() || now < strangersGoneAt || machines.values.any { !fenced(it) && !it.ours }) return
         for (run in missing) {
             run.moveTo(RunState.WAITING, "on no worker", now)
             val job = context.replica.jobs[run.task.job]
@@ -592,7 +588,7 @@
 
     private fun place(now: Moment) {
         if (!context.membership.mayAct) return
-        val waiting = allRuns().filter { it.state == RunState.WAITING && now >= it.notBefore }.toList()
+        val waiting = runs.waiting.filter { now >= it.notBefore }
         if (waiting.isNotEmpty()) placer.place(waiting, machines.values.filter { usable(it, now) }, now)
     }
 
@@ -643,10 +639,10 @@
 
     fun room(): BlockRoom {
         val now = loop.now()
-        val waiting = allRuns().filter { it.state == RunState.WAITING }.map { it.spec.request }.toMutableList()
+        val waiting = runs.waiting.mapTo(ArrayList()) { it.spec.request }
         val rooms = machines.values.filter(::fenced).mapNotNull { machine ->
             val type = context.types[machine.typeName] ?: return@mapNotNull null
-            var free = machine.free(type, ::requestOf)
+            var free = machine.free(type, now, ::requestOf)
             // What waits here already will take this room first.
             val next = waiting.iterator()
             while (next.hasNext()) {
--- a/src/main/kotlin/copperglade/coordination/Closer.kt
+++ b/src/main/kotlin/copperglade/coordination/Closer.kt
@@ -8,7 +8,9 @@
 import copperglade.storage.Keys
 import copperglade.storage.RecordCodec
 import copperglade.storage.Replica
+import copperglade.storage.ReplicaListener
 import copperglade.storage.StateClient
+import copperglade.storage.Touched
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
 import copperglade.storage.Urgency
@@ -23,15 +25,30 @@
     private val store: StateClient,
     private val replica: Replica,
     private val leadership: Leadership,
-) {
+) : ReplicaListener {
     private val inFlight = HashSet<JobId>()
 
+    /** Jobs that have changed since they were last looked at; null where some may have been missed, not leading. */
+    private var changed: HashSet<JobId>? = null
+
+    override fun changed(touched: Touched) {
+        if (leadership.leading) changed?.addAll(touched.jobs) else changed = null
+    }
+
     fun round() {
         if (inFlight.size >= MOST_IN_FLIGHT) return
-        val over = replica.jobs.values.filter {
+        val looked = changed ?: HashSet(replica.jobs.keys)
+        changed = HashSet()
+        val over = looked.mapNotNull { replica.jobs[it] }.filter {
             it.live != null && it.id !in inFlight && (it.complete || it.cancelled) && it.assignments().isEmpty()
         }
-        over.chunked(min(JOBS_AT_ONCE, store.limits.transactionWrites / WRITES_A_JOB)).take(MOST_IN_FLIGHT).forEach(::close)
+        over.chunked(min(JOBS_AT_ONCE, store.limits.transactionWrites / WRITES_A_JOB)).forEachIndexed { index, jobs ->
+            if (index < MOST_IN_FLIGHT) close(jobs) else jobs.forEach { lookAgain(it.id) }
+        }
+    }
+
+    private fun lookAgain(job: JobId) {
+        changed?.add(job)
     }
 
     private fun close(jobs: List<Job>) {
@@ -52,7 +69,10 @@
                 replica.applied(transaction, outcome.stamp)
                 inFlight -= ids.toSet()
             } else {
-                replica.fresh { inFlight -= ids.toSet() }
+                replica.fresh {
+                    inFlight -= ids.toSet()
+                    ids.forEach(::lookAgain)
+                }
             }
         }
     }
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -74,6 +74,7 @@
         store,
         settings.member,
         settings.peers,
+        { owner.machineCount },
         ::composeNote,
         { replica.lead?.value?.member },
         ::heardNote,
@@ -111,6 +112,7 @@
 
     fun start() {
         replica.listen(owner)
+        replica.listen(closer)
         replica.listen { touched -> touched.notes.mapNotNull(PeerWire::decode).forEach(notes::receiveRoundabout) }
         membership.onChange = owner::reconcile
         types.start()
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -115,6 +115,7 @@
     private var ordinaryLevel = 0.0
     private var flexibleLevel = 0.0
     private var levelAt = Moment.NEVER
+    private var replacementS = 1.0
 
     /** Idle machines that their owners should return. */
     var retire: List<MachineName> = emptyList()
@@ -136,6 +137,7 @@
         if (!listing && now >= listedAt + LIST_PACE && budget.tryTake(1, now)) list()
         val rooms = rooms()
         rooms.keys.forEach { heardAt[it] = now }
+        replacementS = replacementS()
         updateLevels(now)
         if (listedAt == Moment.NEVER) return
         clearOut(now)
@@ -182,7 +184,7 @@
     /** Demand comes in bursts; the level follows it up at once and down slowly. */
     private fun updateLevels(now: Moment) {
         val demand = DemandEstimate.of(replica.jobs.values, teams)
-        val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / (replacementS() * tuning.fadeReplacements))
+        val fade = if (levelAt == Moment.NEVER) 0.0 else exp(-now.secondsSince(levelAt) / (replacementS * tuning.fadeReplacements))
         ordinaryLevel = max(demand.ordinary, ordinaryLevel * fade)
         flexibleLevel = max(demand.flexible, flexibleLevel * fade)
         levelAt = now
@@ -329,7 +331,7 @@
     ): List<MachineName> {
         val chosen = ArrayList<MachineName>()
         chosen += unusable(rooms)
-        val longEnoughMs = replacementS() * tuning.idleReplacements * MS
+        val longEnoughMs = replacementS * tuning.idleReplacements * MS
         val candidates = rooms.values
             .filter { it.usable && it.idleMs >= longEnoughMs }
             .sortedWith(compareBy({ it.spot }, { it.name.text }))
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -14,6 +14,7 @@
 import copperglade.protocol.Resources
 import copperglade.protocol.TaskId
 import copperglade.protocol.Trip
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * A start whose outcome nobody told: a late copy of it may act as long as session and baton still match, or until
@@ -142,6 +143,7 @@
         tally = report.tally
         if (report.baton > baton) baton = report.baton
         boxes = report.boxes
+        runChanged()
         noticed = report.noticeS != null
         endpoint = report.endpoint
         taints.removeIf { it.session < session || it.baton < baton }
@@ -151,10 +153,17 @@
 
     fun attach(run: Run) {
         runsByTrip[run.trip] = run
+        runChanged()
     }
 
     fun detach(run: Run) {
         runsByTrip.remove(run.trip)
+        runChanged()
+    }
+
+    /** To be told when a run of this machine has changed its state. */
+    fun runChanged() {
+        freeAsOf = Moment.NEVER
     }
 
     fun runOf(box: Box): Run? = runsByTrip[box.trip]?.takeIf { it.task == box.task }
@@ -177,8 +186,22 @@
         while (images.size > 1 && images.values.sum() > cacheGb) images.remove(images.keys.first())
     }
 
-    /** What is free for further tasks, counting starts that have not arrived yet. */
-    fun free(type: MachineType, requestOf: (TaskId) -> Resources?): Resources {
+    private var freeAsOf = Moment.NEVER
+    private var lastFree = Resources.ZERO
+
+    /**
+     * What is free for further tasks, counting starts that have not arrived yet. Asked for ten times a second for every
+     * machine, so it is worked out only after a change, and now and then for strays, whose requests are others' records.
+     */
+    fun free(type: MachineType, now: Moment, requestOf: (TaskId) -> Resources?): Resources {
+        if (now >= freeAsOf + FREE_KEPT) {
+            lastFree = workOutFree(type, requestOf)
+            freeAsOf = now
+        }
+        return lastFree
+    }
+
+    private fun workOutFree(type: MachineType, requestOf: (TaskId) -> Resources?): Resources {
         var free = type.capacity
         for (run in runs) if (run.onMachine) free -= run.spec.request
         for (box in boxes) {
@@ -191,5 +214,6 @@
 
     companion object {
         private const val FAULTY_JOBS = 2
+        private val FREE_KEPT = 500.milliseconds
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Notes.kt
+++ b/src/main/kotlin/copperglade/coordination/Notes.kt
@@ -1,6 +1,7 @@
 package copperglade.coordination
 
 import copperglade.protocol.BlockName
+import copperglade.protocol.JobSpec
 import copperglade.protocol.MachineName
 import copperglade.protocol.MachineRoom
 import copperglade.protocol.MemberId
@@ -21,6 +22,7 @@
 import copperglade.transport.HttpCaller
 import copperglade.transport.Method
 import copperglade.transport.Request
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,6 +36,7 @@
     private val store: StateClient,
     private val self: MemberId,
     private val peers: List<Peer>,
+    private val machines: () -> Int,
     private val compose: () -> PeerNote?,
     private val leader: () -> MemberId?,
     private val heard: (PeerNote) -> Unit,
@@ -46,15 +49,17 @@
     private val deliveredAt = HashMap<MemberId, Moment>()
     private var recordedAt = Moment.NEVER
 
-    fun start() = loop.again({ PACE }) { compose()?.let(::tell) }
+    fun start() = loop.again({ pace() }) { compose()?.let(::tell) }
+
+    /** The more machines a note tells of, the rarer: five times the machines must not cost five times the processor. */
+    private fun pace(): Duration = minOf(PACE + PACE_A_MACHINE * machines(), LONGEST_PACE)
 
     private fun tell(note: PeerNote) {
         heard(note)
         val lead = leader()
         // Only the lead works with the rooms; for hundreds of machines they are most of a note.
-        val whole = PeerWire.encode(note)
         val brief = PeerWire.encode(note.brief())
-        peers.filter { it.member !in busy }.forEach { send(it, if (it.member == lead) whole else brief) }
+        peers.filter { it.member !in busy }.forEach { send(it, if (it.member == lead) PeerWire.encode(note) else brief) }
         if (lead != null && lead != self) recordIfCutOff(lead, note)
     }
 
@@ -98,6 +103,8 @@
         /** Bytes become a third more in JSON. */
         private const val PART_OF_VALUE = 0.65
         private val PACE = 150.milliseconds
+        private val PACE_A_MACHINE = 1.milliseconds
+        private val LONGEST_PACE = 600.milliseconds
         private val TIMEOUT = 1.seconds
         private val FRESH = 2.seconds
         private val UNREACHED = 1500.milliseconds
@@ -111,6 +118,18 @@
     private class Given(val stamp: Stamp, val request: Resources)
 
     class Room(val block: BlockName, val machine: MachineRoom, var free: Resources, val yielding: Array<Resources>) {
+        /** The lowest priority of which something could be stopped here; -1: nothing could. */
+        private val lowestYielding = yielding.indexOfLast { it.cpus > 0.0 }
+
+        /** Whether [spec] could be given room by stopping what is of lower priority. */
+        fun holdsYielding(spec: JobSpec): Boolean = lowestYielding > spec.priority.ordinal && spec.request.fitsIn(withYielding(spec))
+
+        private fun withYielding(spec: JobSpec): Resources {
+            var sum = free
+            for (lower in spec.priority.ordinal + 1..lowestYielding) sum += yielding[lower]
+            return sum
+        }
+
         /** Kept for a task that doesn't fit yet: small ones must not take every piece of room that comes free. */
         var kept = false
     }
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -217,6 +217,8 @@
         return record.member.takeIf { alive && it != membership.self }
     }
 
+    val machineCount: Int get() = owned.values.sumOf { it.machines.size }
+
     fun rooms(): List<BlockRoom> = owned.values.filter { it.open }.map { it.room() }
 
     /** Returns machines that the lead no longer needs, provided that nothing is on them. */
--- a/src/main/kotlin/copperglade/coordination/Placer.kt
+++ b/src/main/kotlin/copperglade/coordination/Placer.kt
@@ -21,7 +21,7 @@
 
     fun place(waiting: List<Run>, usable: List<Machine>, now: Moment) {
         val rooms = usable.mapNotNull { machine ->
-            types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, requestOf)) }
+            types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, now, requestOf)) }
         }
         val hopeless = HashSet<JobId>()
         for (run in waiting.sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMs }, { it.task.index }))) {
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -39,6 +39,7 @@
     val acceptedAtMs: Long,
     first: RunState,
     now: Moment,
+    private val moved: (Run) -> Unit = {},
 ) {
     var state = first
         private set
@@ -82,6 +83,8 @@
         if (next == RunState.RUNNING && runningSince == null) runningSince = now
         state = next
         since = now
+        machine?.runChanged()
+        moved(this)
     }
 
     fun bind(to: Machine, attempt: Trip) {
--- a/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
+++ b/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
@@ -8,6 +8,7 @@
 import copperglade.protocol.MachineName
 import copperglade.protocol.Moment
 import copperglade.protocol.Resources
+import copperglade.protocol.TaskId
 import copperglade.protocol.secondsSince
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.seconds
@@ -15,7 +16,7 @@
 class RestartDecision(val run: Run, val target: MachineName)
 
 /** Looks for stragglers in one block and weighs restarting them on another of its machines (section 6 and DESIGN). */
-class StragglerWatch(private val context: OwnerContext) {
+class StragglerWatch(private val context: OwnerContext, private val requestOf: (TaskId) -> Resources?) {
     private var nextLook = Moment.NEVER
     private var turns = 0
 
@@ -27,7 +28,7 @@
             val type = context.types[machine.typeName] ?: continue
             val silent = now >= machine.heardAt + (context.reportS * 2).seconds
             if (machine.draining || machine.deleting || machine.noticed || machine.faulty || silent) continue
-            free[machine.name] = machine.free(type) { null }
+            free[machine.name] = machine.free(type, now, requestOf)
         }
         if (free.values.none { it.cpus > 0.0 }) return emptyList()
         // Hundreds of tasks may be late at a time. A few are weighed at each look, all in turn.
@@ -106,9 +107,12 @@
         const val TINY = 1e-6
         const val MOST_WEIGHED = 4
 
-        /** Weighing hundreds of machines for each straggler was a quarter of the processor on a grown day. */
-        const val MOST_OPTIONS = 16
-        val PACE = 1.seconds
+        /**
+         * Weighing hundreds of machines for each straggler was a quarter of the processor on a grown day, and sixteen, every
+         * second, still an eighth on a fleet day.
+         */
+        const val MOST_OPTIONS = 8
+        val PACE = 2.seconds
         val log = LoggerFactory.getLogger("risk")
     }
 }
--- a/src/main/kotlin/copperglade/protocol/Json.kt
+++ b/src/main/kotlin/copperglade/protocol/Json.kt
@@ -53,7 +53,6 @@
         return out.toByteArray()
     }
 
-    fun bytesOf(node: JsonNode): ByteArray = mapper.writeValueAsBytes(node)
 }
 
 inline fun JsonGenerator.obj(content: JsonGenerator.() -> Unit) {
--- a/src/main/kotlin/copperglade/storage/Job.kt
+++ b/src/main/kotlin/copperglade/storage/Job.kt
@@ -12,7 +12,10 @@
 class Assignment(val task: Int, val block: BlockName, val baton: Baton, val generation: Int, val recalled: Boolean)
 
 /** A part of a packed record, and which record that is. */
-class Packed<T>(val value: T, val sheet: String, val bytes: Int)
+class Packed<T>(val value: T, val sheet: String, encode: (T) -> ByteArray) {
+    /** Only the record's writer asks for it: worked out by every controller for every change, it cost as much as reading. */
+    val bytes: Int by lazy(LazyThreadSafetyMode.NONE) { encode(value).size }
+}
 
 /** Everything the state service holds of one job that is not over. */
 class Job(val id: JobId) {
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -287,7 +287,7 @@
         override fun present(job: Job, page: Int) = job.pages[page]
 
         override fun set(job: Job, page: Int, value: JsonNode, sheet: String) =
-            job.setPage(page, Packed(RecordCodec.decodePage(value), sheet, Json.bytesOf(value).size))
+            job.setPage(page, Packed(RecordCodec.decodePage(value), sheet, RecordCodec::encode))
 
         override fun remove(job: Job, page: Int) = job.setPage(page, null)
     }
@@ -296,7 +296,7 @@
         override fun present(job: Job, page: Int) = job.works[WorkPlace(page, block)]
 
         override fun set(job: Job, page: Int, value: JsonNode, sheet: String) =
-            job.setWork(WorkPlace(page, block), Packed(RecordCodec.decodeWork(value), sheet, Json.bytesOf(value).size))
+            job.setWork(WorkPlace(page, block), Packed(RecordCodec.decodeWork(value), sheet, RecordCodec::encode))
 
         override fun remove(job: Job, page: Int) = job.setWork(WorkPlace(page, block), null)
     }
--- a/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
@@ -30,8 +30,20 @@
  * Keeps connections open and reuses them, one request at a time on each. A request that got no answer in time takes
  * its connection with it, so that a late answer can never be taken for that of a later request.
  */
-class NettyHttpCaller(private val group: EventLoopGroup) : HttpCaller {
+class NettyHttpCaller(
+    private val group: EventLoopGroup,
+    private val connectionLimit: Int = Int.MAX_VALUE,
+    /** Always to be reached, whatever the limit: there are few of them. */
+    private val always: Set<Endpoint> = emptySet(),
+) : HttpCaller {
     private val idle = HashMap<Endpoint, ArrayDeque<Exchange>>()
+
+    /** The same connections, longest idle first, and since when. */
+    private val idleSince = LinkedHashMap<Exchange, Long>()
+    private var open = 0
+
+    /** Requests that no connection was free for. */
+    private val held = ArrayDeque<Pair<Waiting, Duration>>()
     private val bootstrap = Bootstrap()
         .group(group)
         .channel(NioSocketChannel::class.java)
@@ -42,19 +54,68 @@
         val waiting = Waiting(to, request, done)
         waiting.deadline = group.schedule({ waiting.timedOut() }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         val reused = takeIdle(to)
-        if (reused != null) reused.send(waiting) else connect(waiting, timeout)
+        when {
+            reused != null -> reused.send(waiting)
+            to in always || mayOpen() -> connect(waiting, timeout)
+            else -> held.addLast(waiting to timeout)
+        }
+    }
+
+    /** Makes room for a further connection by closing the one that has been idle for longest. */
+    private fun mayOpen(): Boolean {
+        if (open < connectionLimit) return true
+        val longest = idleSince.keys.firstOrNull { it.to !in always } ?: return false
+        unlist(longest)
+        longest.channel.close()
+        return true
+    }
+
+    private fun list(exchange: Exchange) {
+        val now = System.nanoTime()
+        idle.getOrPut(exchange.to) { ArrayDeque() }.addLast(exchange)
+        idleSince[exchange] = now
+        // Machines come and go by the hundred, and one without power never closes its connection.
+        while (true) {
+            val (longest, since) = idleSince.entries.first()
+            if (now - since < LONGEST_IDLE_NANOS) break
+            unlist(longest)
+            longest.channel.close()
+        }
+    }
+
+    private fun unlist(exchange: Exchange) {
+        idleSince.remove(exchange)
+        val pool = idle[exchange.to] ?: return
+        pool.remove(exchange)
+        if (pool.isEmpty()) idle.remove(exchange.to)
+    }
+
+    private fun sendHeld() {
+        while (held.isNotEmpty()) {
+            val (waiting, timeout) = held.first()
+            if (!waiting.over) {
+                val reused = takeIdle(waiting.to)
+                when {
+                    reused != null -> reused.send(waiting)
+                    mayOpen() -> connect(waiting, timeout)
+                    else -> return
+                }
+            }
+            held.removeFirst()
+        }
     }
 
     private fun takeIdle(to: Endpoint): Exchange? {
-        val pool = idle[to] ?: return null
         while (true) {
-            val exchange = pool.removeLastOrNull() ?: return null
+            val exchange = idle[to]?.lastOrNull() ?: return null
+            unlist(exchange)
             if (exchange.channel.isActive) return exchange
         }
     }
 
     private fun connect(waiting: Waiting, timeout: Duration) {
         val exchange = Exchange(waiting.to)
+        open++
         val connecting = bootstrap
             .clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt())
@@ -68,6 +129,10 @@
                 }
             })
             .connect(waiting.to.host, waiting.to.port)
+        connecting.channel().closeFuture().addListener {
+            open--
+            sendHeld()
+        }
         connecting.addListener {
             if (!it.isSuccess) {
                 waiting.finish(null)
@@ -99,7 +164,7 @@
         }
     }
 
-    private inner class Exchange(private val to: Endpoint) : SimpleChannelInboundHandler<FullHttpResponse>() {
+    private inner class Exchange(val to: Endpoint) : SimpleChannelInboundHandler<FullHttpResponse>() {
         lateinit var channel: Channel
         private var current: Waiting? = null
 
@@ -127,16 +192,16 @@
             current = null
             val reply = Reply(message.status().code(), ByteBufUtil.getBytes(message.content()))
             if (HttpUtil.isKeepAlive(message) && finished != null && !finished.over) {
-                idle.getOrPut(to) { ArrayDeque() }.addLast(this)
+                list(this)
             } else {
                 context.close()
             }
             finished?.finish(reply)
+            sendHeld()
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            idle[to]?.remove(this)
-            if (idle[to]?.isEmpty() == true) idle.remove(to)
+            unlist(this)
             current?.finish(null)
             current = null
         }
@@ -150,6 +215,7 @@
 
     companion object {
         private const val LONGEST_ANSWER = 16 * 1024 * 1024
+        private const val LONGEST_IDLE_NANOS = 60_000_000_000L
         private val log = LoggerFactory.getLogger("http.caller")
     }
 }
--- a/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -34,7 +34,8 @@
 /**
  * An HTTP/1.1 server on one address.
  *
- * @param connectionLimit further connections are closed at once: sockets must be left for our own calls.
+ * @param connectionLimit further connections are told to come back later, and beyond some of these closed at once: sockets
+ * must be left for our own calls.
  */
 class NettyHttpServer(
     private val group: EventLoopGroup,
@@ -47,7 +48,7 @@
         ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, connectionLimit)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator(false))
@@ -59,7 +60,8 @@
     }
 
     private fun accept(channel: SocketChannel) {
-        if (open >= connectionLimit) {
+        val refused = open >= connectionLimit
+        if (open >= connectionLimit * (1.0 + SPARE)) {
             channel.close()
             return
         }
@@ -67,10 +69,10 @@
         channel.closeFuture().addListener { open-- }
         channel
             .pipeline()
-            .addLast(IdleStateHandler(IDLE_S, 0, 0))
+            .addLast(IdleStateHandler(if (refused) REFUSED_IDLE_S else IDLE_S, 0, 0))
             .addLast(HttpServerCodec(LONGEST_LINE, LONGEST_HEADERS, LONGEST_CHUNK))
             .addLast(BoundedAggregator())
-            .addLast(Conversation())
+            .addLast(Conversation(refused))
     }
 
     /** A body over the protocol's limit gets a plain 400, and the connection ends. */
@@ -81,13 +83,17 @@
         }
     }
 
-    private inner class Conversation : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private inner class Conversation(private val refused: Boolean) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(message)
             if (message.decoderResult().isFailure) {
                 answer(context.channel(), Reply(BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
                 return
             }
+            if (refused) {
+                answer(context.channel(), Reply(UNAVAILABLE, UserWire.error("too many connections"), retryAfterS = 1), keep = false)
+                return
+            }
             val method = when (message.method()) {
                 HttpMethod.GET -> Method.GET
                 HttpMethod.POST -> Method.POST
@@ -121,8 +127,11 @@
     }
 
     companion object {
-        private const val BACKLOG = 256
         private const val IDLE_S = 40
+        private const val REFUSED_IDLE_S = 5
+
+        /** This part of the limit may be refused at a time. */
+        private const val SPARE = 0.1
         private const val LONGEST_LINE = 4096
         private const val LONGEST_HEADERS = 8192
         private const val LONGEST_CHUNK = 8192
