--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -337,7 +337,12 @@
         /** Cheapest first, then fullest. */
         val BY_COST = Comparator<Place> { a, b ->
             val byCost = a.cost.compareTo(b.cost)
-            if (byCost != 0) byCost else a.room.free.cpus.compareTo(b.room.free.cpus)
+            if (byCost != 0) {
+                byCost
+            } else {
+                a.room.free.cpus
+                    .compareTo(b.room.free.cpus)
+            }
         }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -47,6 +47,7 @@
     val tuning: Tuning,
     val reportS: Double,
     val leaseS: Double,
+    val workload: Workload,
 )
 
 /**
@@ -210,8 +211,10 @@
             return WorkerWire.answer(baton, emptyList())
         }
         machine.answersInVain = 0
-        // Where the direct way is broken, the answer to the report is the other one; it is never executed late.
-        val commands = if (machine.deaf && !machine.commandInFlight) commandsFor(machine) else emptyList()
+        // Where the direct way is broken, the answer to the report is the other one; it is never executed late. What can
+        // wait goes with it in any case: a message of its own for every finished task was a third of all commands.
+        val due = commandsFor(machine)
+        val commands = if (machine.deaf && !machine.commandInFlight) due else due.filterIsInstance<Command.Reap>()
         if (commands.isNotEmpty()) {
             markSent(commands, machine)
             taint(machine, commands, actsUntil = loop.now() + ANSWER_ACTS)
@@ -410,7 +413,7 @@
             if (run.state == RunState.STOPPING && !run.seen && run.startSentAt == Moment.NEVER) lost(run, "never sent")
         }
         val commands = commandsFor(machine)
-        if (commands.isNotEmpty()) send(machine, commands)
+        if (commands.any { it !is Command.Reap }) send(machine, commands)
     }
 
     private fun commandsFor(machine: Machine): List<Command> {
@@ -589,16 +592,22 @@
     private fun place(now: Moment) {
         if (!context.membership.mayAct) return
         val waiting = runs.waiting.filter { now >= it.notBefore }
-        if (waiting.isNotEmpty()) placer.place(waiting, machines.values.filter { usable(it, now) }, now)
+        if (waiting.isEmpty()) return
+        placer.place(waiting, machines.values.filter { usable(it, now) }, now)
+        // All that a machine is to start goes in one message.
+        placedOn.forEach(::settle)
+        placedOn.clear()
     }
 
+    private val placedOn = LinkedHashSet<Machine>()
+
     private val placer = Placer(
         context.types,
         ::requestOf,
         start = { run, machine ->
             run.bind(machine, Trip.of(baton, ++trips))
             run.moveTo(RunState.STARTING, "placed", loop.now())
-            settle(machine)
+            placedOn += machine
         },
         stop = { stop(it, StopReason.PREEMPTED) },
         giveBack = { finish(it, RunState.GONE, "no room") },
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -29,10 +29,12 @@
 /** One controller: everything that decides, over a clock and ways to send that are handed in. */
 class Controller(
     private val loop: EventLoop,
-    http: HttpCaller,
+    caller: HttpCaller,
     private val settings: PlatformSettings,
     tuning: Tuning,
 ) {
+    private val workload = Workload(loop)
+    private val http = workload.measured(caller)
     private val store = StateClient(
         loop,
         http,
@@ -62,7 +64,7 @@
     private val profiles =
         ProfileBook(tuning.nearestProfiles, tuning.fittingSteps, tuning.fittingRate, tuning.profileCapacity)
     private val owner = Owner(
-        OwnerContext(loop, http, replica, membership, types, profiles, tuning, settings.reportS, settings.leaseS),
+        OwnerContext(loop, http, replica, membership, types, profiles, tuning, settings.reportS, settings.leaseS, workload),
         store,
         blockMap,
         settings.cloud,
@@ -75,7 +77,7 @@
         settings.member,
         settings.peers,
         { owner.machineCount },
-        ::composeNote,
+        { composeNote() },
         { replica.lead?.value?.member },
         ::heardNote,
     )
@@ -105,10 +107,10 @@
     private val polls = Latencies(loop, "polls")
 
     /** Users, workers and health checks. */
-    val clientHandler = RequestHandler(::handleClient)
+    val clientHandler = workload.measured(RequestHandler(::handleClient))
 
     /** The other controllers. */
-    val clusterHandler = RequestHandler(::handlePeer)
+    val clusterHandler = workload.measured(RequestHandler(::handlePeer))
 
     fun start() {
         replica.listen(owner)
@@ -124,10 +126,11 @@
         notes.start()
         fleet.start()
         submissions.start()
+        workload.start()
         polls.start()
-        loop.again({ SHORTEST_ROUND + (lastRound * ROUND_REST) }) {
+        loop.again({ if (leadership.leading) SHORTEST_ROUND + (lastRound * ROUND_REST) else IDLE_ROUND }) {
             val began = loop.now()
-            leadRound()
+            workload.measure("round") { leadRound() }
             lastRound = (loop.now().ms - began.ms).milliseconds
         }
     }
@@ -268,6 +271,7 @@
         private const val ROUND_REST = 3
         private const val LEADS_PART_OF_CLOUD = 0.6
         private val SHORTEST_ROUND = 60.milliseconds
+        private val IDLE_ROUND = 250.milliseconds
 
         /**
          * How long a process may act on what it knew last. At 30 s, the design's first choice, an owner cut off from
--- a/src/main/kotlin/copperglade/coordination/Notes.kt
+++ b/src/main/kotlin/copperglade/coordination/Notes.kt
@@ -48,6 +48,7 @@
     private val busy = HashSet<MemberId>()
     private val deliveredAt = HashMap<MemberId, Moment>()
     private var recordedAt = Moment.NEVER
+    private var briefAt = Moment.NEVER
 
     fun start() = loop.again({ pace() }) { compose()?.let(::tell) }
 
@@ -58,8 +59,18 @@
         heard(note)
         val lead = leader()
         // Only the lead works with the rooms; for hundreds of machines they are most of a note.
-        val brief = PeerWire.encode(note.brief())
-        peers.filter { it.member !in busy }.forEach { send(it, if (it.member == lead) PeerWire.encode(note) else brief) }
+        val brief = lazy { PeerWire.encode(note.brief()) }
+        val now = loop.now()
+        val briefDue = now >= briefAt + BRIEF_PACE
+        if (briefDue) briefAt = now
+        for (peer in peers) {
+            if (peer.member in busy) continue
+            if (peer.member == lead) {
+                send(peer, PeerWire.encode(note))
+            } else if (briefDue) {
+                send(peer, brief.value)
+            }
+        }
         if (lead != null && lead != self) recordIfCutOff(lead, note)
     }
 
@@ -105,6 +116,9 @@
         private val PACE = 150.milliseconds
         private val PACE_A_MACHINE = 1.milliseconds
         private val LONGEST_PACE = 600.milliseconds
+
+        /** What others than the lead are told changes slowly. */
+        private val BRIEF_PACE = 450.milliseconds
         private val TIMEOUT = 1.seconds
         private val FRESH = 2.seconds
         private val UNREACHED = 1500.milliseconds
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -47,7 +47,7 @@
     private var unheardTimes = 0
 
     fun start() {
-        loop.again({ TICK }, ::tick)
+        loop.again({ TICK }) { context.workload.measure("blocks") { tick() } }
         loop.again({ GIVE_UP_PACE }, ::giveUpUnheard)
         // At leisure: image records spare fetches after a takeover, and nothing depends on them.
         loop.again({ REMEMBER_PACE }) {
--- a/src/main/kotlin/copperglade/protocol/Json.kt
+++ b/src/main/kotlin/copperglade/protocol/Json.kt
@@ -52,7 +52,6 @@
         factory.createGenerator(out).use { it.content() }
         return out.toByteArray()
     }
-
 }
 
 inline fun JsonGenerator.obj(content: JsonGenerator.() -> Unit) {
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -59,6 +59,7 @@
     private var readingEnds = false
     private var endsLoaded = false
     private var lastReading = Moment.NEVER
+    private var takingTook = Duration.ZERO
 
     /** The packed records, by key. */
     val sheets: Map<String, Sheet> get() = sheetRecords
@@ -140,7 +141,7 @@
         read(asked, if (asked.isEmpty()) WATCH_WAIT else 0.seconds) { outcome ->
             watching = false
             when (outcome) {
-                is ChangesOutcome.Got -> loop.after(pace) { watch() }
+                is ChangesOutcome.Got -> loop.after(pause()) { watch() }
                 ChangesOutcome.Failed -> loop.after(RETRY) { watch() }
                 ChangesOutcome.TooOld -> reload()
             }
@@ -153,7 +154,9 @@
         val sent = loop.now()
         lastReading = sent
         store.changes(Keys.ROOT, cursor, wait) { outcome ->
+            val began = loop.now()
             take(outcome)
+            takingTook = (loop.now().ms - began.ms).milliseconds
             if (outcome is ChangesOutcome.Got && sent > asOf) asOf = sent
             after(outcome)
             asked.forEach { it(outcome is ChangesOutcome.Got && state == ReplicaState.CURRENT) }
@@ -180,10 +183,13 @@
     private fun pullIfAsked() {
         if (pulling || !watching || waiting.isEmpty() || state != ReplicaState.CURRENT) return
         pulling = true
-        val pause = pace.inWholeMilliseconds - (loop.now().ms - lastReading.ms)
-        if (pause > 0) loop.after(pause.milliseconds) { pull() } else pull()
+        val left = pause().inWholeMilliseconds - (loop.now().ms - lastReading.ms)
+        if (left > 0) loop.after(left.milliseconds) { pull() } else pull()
     }
 
+    /** The longer it took to take the latest changes in, the longer the next ones are gathered. */
+    private fun pause(): Duration = maxOf(pace, minOf(takingTook * REST, LONGEST_PAUSE))
+
     private fun pull() = read(takeWaiting(), 0.seconds) {
         pulling = false
         pullIfAsked()
@@ -405,6 +411,8 @@
         private val WATCH_WAIT = 10.seconds
         private val QUIET = 1500.milliseconds
         private const val READING_SHARE = 0.5
+        private const val REST = 8
+        private val LONGEST_PAUSE = 200.milliseconds
         private val SHORTEST_PACE = 50.milliseconds
         private val log = LoggerFactory.getLogger("replica")
     }
--- a/src/main/kotlin/copperglade/transport/Ports.kt
+++ b/src/main/kotlin/copperglade/transport/Ports.kt
@@ -8,6 +8,9 @@
 interface Clock {
     fun now(): Moment
 
+    /** The same clock, finer: for measuring how long something takes, never for decisions. */
+    fun micros(): Long = now().ms * 1000
+
     /** Time of day in milliseconds; only for what people or other machines read. */
     fun wallMillis(): Long
 }
--- a/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
@@ -40,7 +40,12 @@
     @Test
     fun `what another team has borrowed is recalled for a guarantee`() {
         val lender = TeamName("lender")
-        val site = SimSite(Simulation(21), scale = SiteScale(machinesPerZone = 1, teamCpus = 100.0), otherTeam = Team(lender, 32.0, 100.0, 0.0, 0.0))
+        val site =
+            SimSite(
+                Simulation(21),
+                scale = SiteScale(machinesPerZone = 1, teamCpus = 100.0),
+                otherTeam = Team(lender, 32.0, 100.0, 0.0, 0.0),
+            )
         // All four machines are full of what "team" runs, three quarters of it beyond its guarantee, for longer than the day.
         site.submit(SimSite.job(1, tasks = 240)) { 600.0 }
         site.run(40.0)
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/FleetTest.kt
@@ -0,0 +1,84 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Fleets of well over a thousand machines. What is bounded is work counted, never time on a wall. */
+class FleetTest {
+    private val fleet = SiteScale(
+        machinesPerZone = 365,
+        reportS = 4.0,
+        leaseS = 22.0,
+        cancelS = 42.0,
+        stateRps = 400.0,
+        stateWriteRps = 100.0,
+        cloudRps = 9.0,
+        guaranteedCpus = 6000.0,
+        teamCpus = 24_000.0,
+    )
+
+    private fun services(site: SimSite, jobs: Int, cpus: Double = 8.0) = repeat(jobs) { number ->
+        site.submit(SimSite.job(10_000 + number, tasks = 1, cpus = cpus, service = true, spot = false, image = number % 16)) { null }
+    }
+
+    private fun arrays(site: SimSite, jobs: Int, tasks: Int, workS: Double) = repeat(jobs) { number ->
+        site.sim.after(number * 100.0) { site.submit(SimSite.job(number + 1, tasks = tasks, image = 20 + number % 9)) { workS } }
+    }
+
+    @Test
+    fun `nearly fifteen hundred machines, thousands of jobs and a restart of all controllers`() {
+        val site = SimSite(Simulation(1), scale = fleet, nodes = 5)
+        services(site, 1300)
+        arrays(site, 300, tasks = 60, workS = 15.0)
+        site.run(70.0)
+        assertTrue(site.workerCount() >= 1000, "${site.workerCount()} machines")
+        val running = site.runningTasks().keys.filter { it.job.text.length == "job-10000".length }
+        assertTrue(running.size >= 1290, "${running.size} services run")
+        val places = site.runningTasks().filterKeys { it in running }.mapValues { it.value.name }
+        (0 until site.nodes).forEach { site.crash(it, 3000.0) }
+        site.run(5.0)
+        val calls = site.network.calls
+        site.run(30.0)
+        // Every worker is fenced and every poll answered within a lease, and no service was moved.
+        val after = site.runningTasks().filterKeys { it in running }.mapValues { it.value.name }
+        assertEquals(places, after)
+        // A minute's messages stay in proportion: reports, their commands, users' questions, and little beside.
+        val perMachine = (site.network.calls - calls).toDouble() / site.workerCount()
+        assertTrue(perMachine < 120.0, "$perMachine messages a machine in 30 s")
+        site.run(60.0)
+        site.checkForgotten()
+        assertEquals(emptyList<String>(), site.breaches)
+        val unfinished = site.users.values.count { it.work(0) != null && !it.finished }
+        assertEquals(0, unfinished, "arrays that never ended")
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [2, 3])
+    fun `dozens of machines hang, die or lose the network at once`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 60, teamCpus = 5000.0, stateWriteRps = 100.0), nodes = 3)
+        services(site, 80)
+        arrays(site, 60, tasks = 30, workS = 8.0)
+        site.run(40.0)
+        val random = site.sim.random
+        val hanging = (0 until site.workerCount()).shuffled(random).take(25).mapNotNull { site.hang(it) }
+        (0 until 15).forEach { site.killMachine(it * 2) }
+        (0 until site.workerCount()).shuffled(random).take(20).forEach { site.cutMachine(it) }
+        site.run(6.0 + random.nextInt(14))
+        site.heal()
+        hanging.forEach { it.resume() }
+        site.run(130.0)
+        site.checkForgotten()
+        assertEquals(emptyList<String>(), site.breaches)
+        assertEquals(
+            emptyList<JobId>(),
+            site.users.values
+                .filter { it.work(0) != null && !it.finished }
+                .map { it.spec.id },
+        )
+        assertEquals(80, site.runningTasks().keys.count { it.job.text.length == "job-10000".length })
+    }
+}
--- a/src/test/kotlin/copperglade/sim/Simulation.kt
+++ b/src/test/kotlin/copperglade/sim/Simulation.kt
@@ -91,6 +91,10 @@
     /** What becomes of a report before it arrives once more; other than itself only to see the referee at work. */
     var forge: (ByteArray) -> ByteArray = { it }
 
+    /** Requests that were sent. */
+    var calls = 0
+        private set
+
     /** Requests that never arrive anywhere. */
     var swallows: (Request) -> Boolean = { false }
 
@@ -125,6 +129,7 @@
             over = true
             done(reply)
         }
+        calls++
         loop.after(timeout) { finish(null) }
         if (copyOneIn > 0 && request.path == "/checkin" && sim.random.nextInt(copyOneIn) == 0) copy(to, request)
         val host = hosts[to]
--- a/src/test/kotlin/copperglade/standin/StandInCloud.kt
+++ b/src/test/kotlin/copperglade/standin/StandInCloud.kt
@@ -46,7 +46,14 @@
         responder.send(
             when (path) {
                 "/machine_types" -> Reply(200, typeList())
-                "/machines" -> if (request.path.contains('?')) Reply(200, list(request.path.substringAfter("from=").substringBefore('&'))) else rent(node!!)
+                "/machines" -> if (request.path.contains(
+                        '?',
+                    )
+                ) {
+                    Reply(200, list(request.path.substringAfter("from=").substringBefore('&')))
+                } else {
+                    rent(node!!)
+                }
                 "/machines/delete" -> {
                     node!!.get("trucks").forEach { name -> machines.remove(name.asText())?.let { take(it) } }
                     Reply(200)
--- a/src/test/kotlin/copperglade/storage/RecordsTest.kt
+++ b/src/test/kotlin/copperglade/storage/RecordsTest.kt
@@ -55,7 +55,14 @@
         val job = Job(JobId("job-1"))
         job.live = Stamped(LiveRecord(SimSite.job(1, tasks = 4), 0, cancelled = false), Stamp(1))
         val block = BlockName("north.0")
-        job.setPage(0, Packed(AssignmentPage(listOf(AssignmentGroup(block, Baton(5), 2, bits(0, 1, 2))), BitSet(), 2, 3, 1), "sheet", RecordCodec::encode))
+        job.setPage(
+            0,
+            Packed(
+                AssignmentPage(listOf(AssignmentGroup(block, Baton(5), 2, bits(0, 1, 2))), BitSet(), 2, 3, 1),
+                "sheet",
+                RecordCodec::encode,
+            ),
+        )
         // Task 0 was given back in an earlier generation, task 1 in this one, task 2 is done.
         val work = WorkRecord(bits(2), mapOf(1 to bits(0), 2 to bits(1)), BitSet(), 1)
         job.setWork(WorkPlace(0, block), Packed(work, "sheet", RecordCodec::encode))
