--- a/src/test/kotlin/copperglade/transport/SocketsTest.kt
+++ b/src/test/kotlin/copperglade/transport/SocketsTest.kt
@@ -12,14 +12,16 @@
 
 /** Real sockets on loopback: a fleet's workers must not take the sockets that everything else needs. */
 class SocketsTest {
-    private fun freePort() = ServerSocket(0).use { it.localPort }
+    /** All held until the last is known: a port that is closed again may be given out once more. */
+    private fun freePlaces(number: Int): List<Endpoint> =
+        List(number) { ServerSocket(0) }.onEach { it.close() }.map { Endpoint("127.0.0.1", it.localPort) }
 
     @Test
     fun `more peers than sockets are all answered, and only so many connections stay`() {
         val loop = NettyEventLoop()
         val limit = 4
         val caller = NettyHttpCaller(loop.group, limit)
-        val places = List(20) { Endpoint("127.0.0.1", freePort()) }
+        val places = freePlaces(20)
         val answered = AtomicInteger()
         val all = CountDownLatch(2 * places.size)
         places.forEach { NettyHttpServer(loop.group, 10) { _, responder -> responder.send(Reply(200)) }.listen(it) }
@@ -42,7 +44,7 @@
     @Test
     fun `a connection beyond the server's limit is told to come back later`() {
         val loop = NettyEventLoop()
-        val at = Endpoint("127.0.0.1", freePort())
+        val at = freePlaces(1).single()
         val held = ArrayList<Responder>()
         val server = NettyHttpServer(loop.group, 10) { _, responder -> held += responder }
         server.listen(at)
