--- a/src/main/kotlin/copperglade/coordination/Blocks.kt
+++ b/src/main/kotlin/copperglade/coordination/Blocks.kt
@@ -93,35 +93,24 @@
         return record.member.takeIf { replica.members[it]?.value?.incarnation == record.incarnation }
     }
 
-    /**
-     * Who may own a block: the controllers of its zone, as long as one lives. A zone that is cut off keeps its tasks only where
-     * its workers' owner is cut off with them.
-     */
-    private fun eligible(block: BlockName, living: Set<MemberId>): Set<MemberId> {
-        val zone = blocks.zoneOf(block)
-        return living.filterTo(HashSet()) { zoneOfMember[it] == zone }.ifEmpty { living }
-    }
-
     /** The former owner where it lives again: it knows the machines' ways to it. Else whoever has least. */
     private fun choose(block: BlockName, load: Map<MemberId, Int>): MemberId? {
-        val eligible = eligible(block, load.keys)
         val former = replica.blocks[block]?.value?.member
-        val its = blocks.all.count { eligible(it, load.keys) == eligible }
-        val fair = (its + eligible.size - 1) / eligible.size.coerceAtLeast(1)
-        if (former != null && former in eligible && load.getValue(former) < fair) return former
-        return eligible.minWithOrNull(compareBy<MemberId> { load.getValue(it) }.thenBy { it.text })
+        val fair = (blocks.all.size + load.size - 1) / load.size.coerceAtLeast(1)
+        if (former != null && former in load && load.getValue(former) < fair) return former
+        val zone = blocks.zoneOf(block)
+        return load.keys.minWithOrNull(
+            compareBy<MemberId> { load.getValue(it) }
+                .thenBy { if (zoneOfMember[it] == zone) 0 else 1 }
+                .thenBy { it.text },
+        )
     }
 
-    /** One block at a time goes to where it belongs, or from whoever has most to whoever has least. */
     private fun balance(load: Map<MemberId, Int>): List<BlockName> {
-        for (block in blocks.all) {
-            val owner = ownerOf(block) ?: continue
-            val eligible = eligible(block, load.keys)
-            if (eligible.isEmpty()) continue
-            val least = eligible.minOf { load.getValue(it) }
-            if (owner !in eligible || load.getValue(owner) - least >= 2) return listOf(block)
-        }
-        return emptyList()
+        val most = load.maxByOrNull { it.value } ?: return emptyList()
+        val least = load.values.min()
+        if (most.value - least < 2) return emptyList()
+        return listOfNotNull(blocks.all.lastOrNull { ownerOf(it) == most.key })
     }
 
     private fun grant(block: BlockName, to: MemberId) {
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -27,6 +27,7 @@
 import copperglade.transport.Reply
 import copperglade.transport.Request
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -49,7 +50,7 @@
     private var unheardTimes = 0
 
     fun start() {
-        loop.again({ TICK }) { context.workload.measure("blocks") { tick() } }
+        loop.again({ TICK + TICK_A_MACHINE * machineCount }) { context.workload.measure("blocks") { tick() } }
         loop.again({ GIVE_UP_PACE }, ::giveUpUnheard)
         // At leisure: image records spare fetches after a takeover, and nothing depends on them.
         loop.again({ REMEMBER_PACE }) {
@@ -268,6 +269,9 @@
         const val TIMES_TO_TELL = 2
         val GIVE_UP_PACE = 250.milliseconds
         val TICK = 100.milliseconds
+
+        /** The more machines there are, the more is gathered: looking at each of them ten times a second would not do. */
+        val TICK_A_MACHINE = 400.microseconds
         val RETRY = 200.milliseconds
         val DELETE_TIMEOUT = 5.seconds
         val log = LoggerFactory.getLogger("owner")
