--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -221,6 +221,8 @@
 
     fun ownerOf(workerName: String): Int = workers.getValue(workerName).reportsTo
 
+    fun zoneOf(workerName: String): String = workers.getValue(workerName).zone
+
     fun workerNames(): List<String> = workers.keys.toList()
 
     val machinesRented: Int get() = cloud.rentedInAll
