--- a/src/main/kotlin/copperglade/coordination/AssignmentWriter.kt
+++ b/src/main/kotlin/copperglade/coordination/AssignmentWriter.kt
@@ -20,6 +20,7 @@
 import copperglade.storage.StateClient
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
+import copperglade.storage.UnsettledSheets
 import copperglade.storage.Urgency
 import copperglade.storage.WorkPlace
 import copperglade.transport.EventLoop
@@ -56,6 +57,8 @@
         )
     }
 
+    private val unsettled = UnsettledSheets(loop, store, replica, Urgency.ASSIGNMENT) { leadership.condition }
+
     /** Tasks whose assignment is on its way or of unknown outcome: they count as assigned. */
     private val pending = HashMap<JobId, Int>()
 
@@ -189,7 +192,10 @@
                 TransactionOutcome.Refused -> loop.after(AFTER_REFUSAL) { if (spell == term) settled(sheet, counts) }
                 // Somebody cancelled, a block changed hands: surely not applied, but what stood in the way must be known.
                 is TransactionOutcome.Conflict -> replica.fresh { if (spell == term) settled(sheet, counts) }
-                TransactionOutcome.Unknown, TransactionOutcome.NoSuchPermit -> unsettled(sheet, counts, spell)
+                // It may yet be applied, so its tasks count as assigned: giving their share to others on the word of a
+                // reading alone could put a team over its limit.
+                TransactionOutcome.Unknown, TransactionOutcome.NoSuchPermit ->
+                    unsettled.settle(sheet, ours = { spell == term }) { settled(sheet, counts) }
             }
         }
     }
@@ -209,35 +215,6 @@
         counts.forEach { (job, count) -> pending.computeIfPresent(job) { _, sum -> (sum - count).takeIf { it > 0 } } }
     }
 
-    /**
-     * A write of unknown outcome may be applied at any later time, as long as its sheets are what they were. Its tasks
-     * count as assigned until a reading shows that the sheets have changed, by that write or by one of ours: giving
-     * their share to others on the word of a reading alone could put a team over its limit.
-     */
-    private fun unsettled(sheet: SheetWrite, counts: Map<JobId, Int>, spell: Stamp) {
-        val again = { loop.after(AFTER_REFUSAL) { unsettled(sheet, counts, spell) } }
-        replica.fresh { known ->
-            if (spell != term) return@fresh
-            if (!known) return@fresh again()
-            val changed = sheet.conditions.any {
-                replica.sheets[it.key]?.stamp != it.stamp &&
-                    (it.key in replica.sheets || it.stamp != Stamp.ABSENT)
-            }
-            if (changed) return@fresh settled(sheet, counts)
-            val same = sheet.packer.same(sheet)
-            val transaction = Transaction(listOf(leadership.condition) + same.conditions, same.writes)
-            store.commit(Urgency.ASSIGNMENT, transaction) { outcome ->
-                if (spell != term) return@commit
-                if (outcome is TransactionOutcome.Applied) {
-                    replica.applied(transaction, outcome.stamp)
-                    settled(sheet, counts)
-                } else {
-                    again()
-                }
-            }
-        }
-    }
-
     private companion object {
         val LONGEST_WITHOUT = 1500.milliseconds
         val AFTER_REFUSAL = 200.milliseconds
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -62,6 +62,7 @@
     private val first: Baton,
 ) {
     private val outcomes = OutcomeLog(context.loop, store, context.replica, this)
+    private val cancelledWork = CancelledWork(context.replica)
     private val loop = context.loop
     private val tenure = hashSetOf(first)
     private val openedAt = loop.now()
@@ -194,14 +195,14 @@
             return null
         }
         val known = machines[report.machine]
-        if (known != null && known.isDoubtful(report)) return answerInDoubt(known)
+        if (known != null && known.isDoubtful(report)) return answerInDoubt(known, report)
         if (known != null && known.isCopy(report)) {
             // A late copy, or a machine that began anew with low numbers: only its answer to a question of ours tells.
             fence(known)
             return null
         }
         val machine = hear(report)
-        machine.sentBy(report)
+        machine.sentBy(report, loop.now())
         if (inVain(machine)) {
             fence(machine)
             return null
@@ -210,7 +211,7 @@
         if (!open || !fenced(machine)) {
             machine.answersInVain++
             fence(machine)
-            return WorkerWire.answer(baton, emptyList())
+            return answer(report)
         }
         machine.answersInVain = 0
         // Where the direct way is broken, the answer to the report is the other one; it is never executed late. What can
@@ -225,19 +226,30 @@
             markSent(commands, machine)
             taint(machine, commands, actsUntil = loop.now() + ANSWER_ACTS)
         }
-        return WorkerWire.answer(baton, commands)
+        return answer(report, commands)
+    }
+
+    /** Every answer of 200 is made here: see [CancelledWork] for what none of them may lack. */
+    private fun answer(report: Report, commands: List<Command> = emptyList()): ByteArray {
+        val halts = cancelledWork.haltsFor(report)
+        if (halts.isEmpty()) return WorkerWire.answer(baton, commands)
+        val others = commands.filterNot { command ->
+            command is Command.Halt &&
+                halts.any { it.trip == command.trip && it.task == command.task }
+        }
+        return WorkerWire.answer(baton, halts + others)
     }
 
     /**
      * Answers a worker while we may act no more but know of nobody else who would: its lease goes on, and nothing is
-     * commanded. Null where somebody else has given it commands, or it is none that we know well.
+     * commanded but the end of what is cancelled. Null where somebody else has given it commands, or it is none that we know well.
      */
     fun keep(report: Report): ByteArray? {
         val known = machines[report.machine]?.takeIf { open && fenced(it) } ?: return null
         if (report.baton > baton || known.isDoubtful(report) || known.isCopy(report)) return null
-        hear(report).sentBy(report)
+        hear(report).sentBy(report, loop.now())
         known.answeredAt = loop.now()
-        return WorkerWire.answer(baton, emptyList())
+        return answer(report)
     }
 
     /**
@@ -251,11 +263,11 @@
      * The report may be of the machine's earlier life. It is not taken in, but while the machine answers questions, its
      * lease must go on; one that doesn't gets no 200.
      */
-    private fun answerInDoubt(machine: Machine): ByteArray? {
+    private fun answerInDoubt(machine: Machine, report: Report): ByteArray? {
         fence(machine)
         if (loop.now() >= machine.heardAt + (context.reportS * SILENT_REPORTS).seconds) return null
         machine.answeredAt = loop.now()
-        return WorkerWire.answer(baton, emptyList())
+        return answer(report)
     }
 
     /**
@@ -340,8 +352,7 @@
         run.bind(machine, box.trip)
         run.seen = true
         run.moveTo(RunState.STARTING, "found on ${machine.name}", loop.now())
-        val job = context.replica.jobs[box.task.job]
-        if (job?.cancelled == true) stop(run, StopReason.CANCELLED)
+        if (cancelledWork.isCancelled(box.task.job)) stop(run, StopReason.CANCELLED)
     }
 
     private fun observe(run: Run, machine: Machine, box: Box) {
@@ -462,9 +473,7 @@
                 ) {
                     commands += Command.Halt(run.task, run.trip, graceFor(run))
                 }
-                RunState.STARTING -> if (!run.seen &&
-                    now >= run.startSentAt + RESEND
-                ) {
+                RunState.STARTING -> if (!run.seen && now >= run.startSentAt + RESEND && context.membership.mayStart) {
                     commands += Command.Start(run.task, run.trip)
                 }
                 else -> Unit
@@ -589,20 +598,23 @@
         if (missing.isEmpty() || now < strangersGoneAt || machines.values.any { !fenced(it) && !it.ours }) return
         for (run in missing) {
             run.moveTo(RunState.WAITING, "on no worker", now)
-            val job = context.replica.jobs[run.task.job]
-            if (job?.cancelled == true) stop(run, StopReason.CANCELLED)
+            if (cancelledWork.isCancelled(run.task.job)) stop(run, StopReason.CANCELLED)
         }
     }
 
     /**
      * Whether a start of unknown outcome holds something up that only a new baton can settle: a late copy of it could
-     * still act, and its machine goes on living.
+     * still act, and its machine goes on living. Where direct commands go unanswered that can wait, unless the task is
+     * cancelled: its start, held up on the way for longer than a cancellation allows, must find a higher baton there, which
+     * the answers to reports bring.
      */
     fun needsNewBaton(): Boolean {
         val now = loop.now()
         return machines.values.any { machine ->
-            machine.taints.any { it.actsUntil == null && it.baton == baton && now >= it.since + UNSETTLED } &&
-                now < machine.heardAt + (context.reportS * SILENT_REPORTS).seconds && !machine.deaf
+            now < machine.heardAt + (context.reportS * SILENT_REPORTS).seconds && machine.taints.any {
+                it.actsUntil == null && it.baton == baton && now >= it.since + UNSETTLED &&
+                    (!machine.deaf || cancelledWork.isCancelled(it.task.job))
+            }
         }
     }
 
@@ -618,7 +630,7 @@
     // ---- placing ----
 
     private fun place(now: Moment) {
-        if (!context.membership.mayAct) return
+        if (!context.membership.mayStart) return
         val waiting = runs.waiting.filter { now >= it.notBefore }
         if (waiting.isEmpty()) return
         placer.place(waiting, machines.values.filter { usable(it, now) }, now)
@@ -641,8 +653,12 @@
         giveBack = { finish(it, RunState.GONE, "no room") },
     )
 
-    /** Nothing is placed where a command has just gone unanswered: it might be bound there for a lease. */
-    private fun usable(machine: Machine, now: Moment): Boolean = sound(machine, now) && !machine.deaf
+    /**
+     * Nothing is placed where a command has just gone unanswered: it might be bound there for a lease. Nor where the worker's
+     * own reports stay out, though direct commands are answered: its lease is running out.
+     */
+    private fun usable(machine: Machine, now: Moment): Boolean = sound(machine, now) && !machine.deaf &&
+        now < machine.reportedAt + (context.reportS * SILENT_REPORTS).seconds
 
     /** Whether it is worth keeping: one that has not obeyed for a lease will not. */
     private fun worthKeeping(machine: Machine, now: Moment): Boolean =
--- /dev/null
+++ b/src/main/kotlin/copperglade/coordination/BoundDemand.kt
@@ -0,0 +1,53 @@
+package copperglade.coordination
+
+import copperglade.protocol.MachineRoom
+import copperglade.protocol.Resources
+import copperglade.protocol.Team
+import copperglade.protocol.TeamName
+import copperglade.storage.Job
+import kotlin.math.max
+import kotlin.math.min
+
+/** Where some jobs' tasks may run, and nowhere else. */
+data class Binding(val types: List<String>?, val zone: String?, val spotAllowed: Boolean) {
+    fun allows(type: String, machineZone: String, spot: Boolean): Boolean =
+        (types == null || type in types) && (zone == null || zone == machineZone) && (!spot || spotAllowed)
+}
+
+/** CPUs that wait for room under a [Binding], and the largest request among them. */
+class BoundWork(var cpus: Double, var largest: Resources)
+
+/**
+ * Waiting work that can't use every machine. The fleet as a whole may be large enough while all of its room is elsewhere:
+ * a job bound to a zone that had lost its machines, the rest of them full of services, waited for ever, since there were CPUs
+ * enough in the other zone.
+ */
+object BoundDemand {
+    fun of(jobs: Collection<Job>, teams: Map<TeamName, Team>, zoneOf: (Job) -> String?): Map<Binding, BoundWork> {
+        val bound = HashMap<Binding, BoundWork>()
+        if (jobs.none { job -> job.spec?.let { it.zone != null || it.types != null || it.oneZone } == true }) return bound
+        val used = HashMap<TeamName, Double>()
+        for (job in jobs) job.spec?.let { used.merge(it.team, job.assignments().size * it.request.cpus, Double::plus) }
+        for (job in jobs) {
+            val spec = job.spec ?: continue
+            if (job.cancelled || job.complete) continue
+            val zone = spec.zone ?: if (spec.oneZone) zoneOf(job) else null
+            if (zone == null && spec.types == null) continue
+            val waiting = spec.tasks - job.done.cardinality() - job.assignments().size
+            if (waiting <= 0) continue
+            val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
+            val within = max(0.0, limit - (used[spec.team] ?: 0.0))
+            if (within < spec.request.cpus) continue
+            val cpus = min(within, max(1.0, waiting * DemandEstimate.atOnce(spec)) * spec.request.cpus)
+            val work = bound.getOrPut(Binding(spec.types, zone, spec.spotAllowed)) { BoundWork(0.0, Resources.ZERO) }
+            work.cpus += cpus
+            if (spec.request.cpus > work.largest.cpus) work.largest = spec.request
+        }
+        return bound
+    }
+
+    /** CPUs of room that such work could have at once. */
+    fun room(binding: Binding, work: BoundWork, rooms: Collection<MachineRoom>): Double = rooms
+        .filter { it.usable && binding.allows(it.type, it.zone, it.spot) && work.largest.fitsIn(it.free) }
+        .sumOf { it.free.cpus }
+}
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -1,6 +1,7 @@
 package copperglade.coordination
 
 import copperglade.bookkeeping.ProfileBook
+import copperglade.protocol.BadSetting
 import copperglade.protocol.JobId
 import copperglade.protocol.MemberId
 import copperglade.protocol.PeerNote
@@ -43,9 +44,10 @@
         // Until it knows the others, it takes no more than would be left to it if they all lived.
         firstShare = BUDGET_USED / (settings.peers.size + 1),
     )
-    private val replica = Replica(loop, store, readers = settings.peers.size + 1)
-    private val vouching = Vouching(loop, http, store, settings.member, settings.peers)
     private val staleness = stalenessLimit(settings, tuning)
+    private val quiet = minOf(Replica.QUIET, staleness / READINGS_IN_STALENESS)
+    private val replica = Replica(loop, store, readers = settings.peers.size + 1, quiet)
+    private val vouching = Vouching(loop, http, store, settings.member, settings.peers)
     private val membership = Membership(
         loop,
         store,
@@ -54,6 +56,7 @@
         settings.member,
         holdLength = minOf(staleness, (settings.leaseS * tuning.holdPartOfLease).seconds),
         stalenessLimit = staleness,
+        startLimit = quiet * 2,
     )
     private val absences = Absences(loop, replica, settings.peers.map { it.member }, membership.grace)
     private val leadership = Leadership(loop, store, replica, membership, tuning.leadHold)
@@ -103,7 +106,8 @@
         settings.listLagS,
         ::noteOf,
     )
-    private val desk = JobDesk(loop, store, replica, types, settings.teams)
+    private val cancellationNews = CancellationNews(loop, http, settings.peers, replica, worthTelling = staleness)
+    private val desk = JobDesk(loop, store, replica, types, settings.teams, cancellationNews)
 
     private val submissions = Latencies(loop, "submissions")
     private val polls = Latencies(loop, "polls")
@@ -241,12 +245,14 @@
 
     /**
      * A node that alone has lost the state service should get no users; if all have lost it, none of the others
-     * would serve them better, and the balancer would only be slow to come back.
+     * would serve them better, and the balancer would only be slow to come back. One that hears neither the service nor
+     * any other controller is probably alone: users who stayed with it would get no answer for as long as that lasts.
      */
     private fun health(): Reply {
         val silent = loop.now().secondsSince(store.lastGood)
         val alone = othersHearState()
-        val healthy = replica.state == ReplicaState.CURRENT && types.known && (silent * 1000 < SILENT_MS || !alone)
+        val lonely = settings.peers.isNotEmpty() && settings.peers.none { notes.of(it.member) != null } && silent >= LONELY_S
+        val healthy = replica.state == ReplicaState.CURRENT && types.known && (silent * 1000 < SILENT_MS || !(alone || lonely))
         return if (healthy) Reply(OK) else Reply(UNAVAILABLE, UserWire.error("not ready"))
     }
 
@@ -260,6 +266,11 @@
             val vouched = vouching.vouch(MemberId(request.body.decodeToString()))
             return responder.send(Reply(if (vouched) OK else CONFLICT))
         }
+        if (request.path == PeerWire.CANCELLED_PATH) {
+            val cancellations = PeerWire.decodeCancelled(request.body)
+            cancellations?.let(cancellationNews::receive)
+            return responder.send(Reply(if (cancellations == null) BAD_REQUEST else OK))
+        }
         if (request.path != PeerWire.PATH) return responder.send(Reply(NOT_FOUND))
         val note = PeerWire.decode(request.body)
         if (note != null) notes.receive(note)
@@ -278,18 +289,25 @@
         private const val CLOUD_SHARE = 0.9
         private const val ROUND_REST = 3
         private const val LEADS_PART_OF_CLOUD = 0.6
+        private const val LONELY_S = 10.0
+        private const val READINGS_IN_STALENESS = 4
+        private val SHORTEST_STALENESS = 1.seconds
         private val SHORTEST_ROUND = 60.milliseconds
         private val IDLE_ROUND = 250.milliseconds
 
         /**
          * How long a process may act on what it knew last. At 30 s, the design's first choice, an owner cut off from
          * the state service could keep a worker going past the time in which a cancelled job must be gone: this time,
-         * then the worker's lease.
+         * then the worker's lease. The margin covers the drift of the clocks, a thousandth of both together; where there is
+         * little time between lease and cancellation, it is a third of that.
          */
         fun stalenessLimit(settings: PlatformSettings, tuning: Tuning): Duration {
-            val longest = (settings.cancelS - settings.leaseS).seconds - tuning.holdMargin
-            require(longest >= 1.seconds) { "cancel_s leaves no time for a hold beside lease_s" }
-            return minOf(tuning.holdLimit, longest)
+            val between = (settings.cancelS - settings.leaseS).seconds
+            val margin = if (tuning.holdMargin > Tuning.USUAL_HOLD_MARGIN) tuning.holdMargin else minOf(tuning.holdMargin, between / 3)
+            if (between - margin < SHORTEST_STALENESS) {
+                throw BadSetting("deployment.workers.cancel_s: lease_s and hold.margin.s ($margin) leave no second of it to act in")
+            }
+            return minOf(tuning.holdLimit, between - margin)
         }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -76,7 +76,7 @@
      * The part of a job's tasks that must run at the same time for a job that starts at once to be in time. A job
      * that has waited gets no more than that: by the time that further machines are up, others have finished.
      */
-    private fun atOnce(spec: JobSpec): Double {
+    fun atOnce(spec: JobSpec): Double {
         if (spec.kind != JobKind.ARRAY) return 1.0
         val time = (spec.deadlineS ?: (spec.estimateS * 2)) * SHARE_OF_DEADLINE
         return if (time <= spec.estimateS) 1.0 else spec.estimateS / time
@@ -256,6 +256,7 @@
         if (flexibleMissing > 0) flexibleMissing -= rent(flexibleMissing, spot = true, counts, now)
         if (flexibleMissing > 0) ordinaryMissing = max(0.0, ordinaryMissing) + flexibleMissing
         if (ordinaryMissing > 0) rent(ordinaryMissing, spot = false, counts, now)
+        rentBound(rooms, counts, now)
         retire = if (flexibleMissing > 0 || ordinaryMissing > 0) unusable(rooms) else idle(rooms, stock, ordinaryTarget, flexibleTarget)
     }
 
@@ -265,12 +266,31 @@
         if (kind.spot) stock.spot += cpus else stock.ordinary += cpus
     }
 
+    /** What waits for room that only some machines can give is rented for beside the rest, unless such machines are on their way. */
+    private fun rentBound(rooms: Map<MachineName, MachineRoom>, counts: HashMap<Kind, Int>, now: Moment) {
+        val demand = BoundDemand.of(
+            replica.jobs.values,
+            teams,
+        ) { job -> job.assignments().firstOrNull()?.let { blockMap.zoneOf(it.block) } }
+        for ((binding, work) in demand) {
+            val allowed = { kind: Kind -> binding.allows(kind.type, kind.zone, kind.spot) }
+            val coming = listed.values
+                .filter { it.name !in rooms && it.name !in deletedAt && !isDead(it, now) }
+                .map { Kind(it.type, it.zone, it.spot) } + hired.values.map { it.kind } +
+                pending.flatMap { (kind, number) -> List(number) { kind } }
+            val comingCpus = coming.filter(allowed).sumOf { types[it.type]?.capacity?.cpus ?: 0.0 }
+            var missing = work.cpus - comingCpus - BoundDemand.room(binding, work, rooms.values)
+            if (missing > 0 && binding.spotAllowed) missing -= rent(missing, spot = true, counts, now, allowed)
+            if (missing > 0) rent(missing, spot = false, counts, now, allowed)
+        }
+    }
+
     /** Rents about [cpus]; returns how many were asked for. */
-    private fun rent(cpus: Double, spot: Boolean, counts: HashMap<Kind, Int>, now: Moment): Double {
+    private fun rent(cpus: Double, spot: Boolean, counts: HashMap<Kind, Int>, now: Moment, allowed: (Kind) -> Boolean = { true }): Double {
         var missing = cpus
         val kinds = types.all
             .flatMap { type -> type.zones.map { Kind(type.name, it, spot) to type } }
-            .filter { (kind, _) -> kind !in pending && now >= (refusedUntil[kind] ?: Moment.NEVER) }
+            .filter { (kind, _) -> allowed(kind) && kind !in pending && now >= (refusedUntil[kind] ?: Moment.NEVER) }
             .sortedWith(compareBy({ pricePerCpu(it.second, spot) }, { counts[it.first] ?: 0 }))
         var asked = 0.0
         for ((kind, type) in kinds) {
--- a/src/main/kotlin/copperglade/coordination/JobDesk.kt
+++ b/src/main/kotlin/copperglade/coordination/JobDesk.kt
@@ -1,6 +1,7 @@
 package copperglade.coordination
 
 import copperglade.protocol.BadField
+import copperglade.protocol.Cancellation
 import copperglade.protocol.JobAnswer
 import copperglade.protocol.JobId
 import copperglade.protocol.JobKind
@@ -41,6 +42,7 @@
     private val replica: Replica,
     private val types: TypeBook,
     private val teams: Map<TeamName, Team>,
+    private val news: CancellationNews,
 ) {
     fun submit(body: ByteArray, responder: Responder) {
         val root = Json.readStrict(body)
@@ -115,9 +117,15 @@
                     listOf(Write.Set(Keys.live(id), RecordCodec.encode(record))),
                 )
                 store.commit(Urgency.USER, transaction) { outcome ->
-                    if (outcome is TransactionOutcome.Applied) replica.applied(transaction, outcome.stamp)
                     // Tasks may have become done just before the mark, so it is read again what the job has become.
-                    if (outcome == TransactionOutcome.Refused) responder.send(later()) else cancel(id, responder, tries - 1)
+                    when (outcome) {
+                        is TransactionOutcome.Applied -> {
+                            replica.applied(transaction, outcome.stamp)
+                            news.tell(Cancellation(id, outcome.stamp)) { cancel(id, responder, tries - 1) }
+                        }
+                        TransactionOutcome.Refused -> responder.send(later())
+                        else -> cancel(id, responder, tries - 1)
+                    }
                 }
             }
         }
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -63,11 +63,19 @@
     private var sentSession = 0L
     private var sentTally = -1L
 
+    /** When the worker's own reports last arrived; answers to direct commands say nothing of its lease. */
+    var reportedAt = Moment.NEVER
+        private set
+
     /** The highest numbers of an earlier life, before the machine began anew. */
     private var formerSession = 0L
     private var formerTally = -1L
 
-    /** When a report was last answered with 200: the lease ends a lease's time after that at the latest. */
+    /**
+     * When a report was last answered with 200, or a new session was heard of: the lease ends a lease's time after that at the
+     * latest. A session has its lease from its own beginning. A worker that reached no controller began a new one, was given
+     * tasks in it by direct commands, and was taken for gone by the answers to the session before, while they ran.
+     */
     var answeredAt = now
 
     /** Answers since the baton in them could have been taken up, had any arrived. */
@@ -115,7 +123,8 @@
     }
 
     /** Takes note that the worker itself sent [report] and waits for the answer. */
-    fun sentBy(report: Report) {
+    fun sentBy(report: Report, now: Moment) {
+        reportedAt = now
         sentSession = report.session
         sentTally = report.tally
     }
@@ -140,6 +149,7 @@
     private fun take(report: Report, now: Moment) {
         heardAt = now
         takenAt = now
+        if (report.session != session) answeredAt = now
         session = report.session
         tally = report.tally
         if (report.baton > baton) baton = report.baton
--- a/src/main/kotlin/copperglade/coordination/Membership.kt
+++ b/src/main/kotlin/copperglade/coordination/Membership.kt
@@ -93,6 +93,7 @@
     val self: MemberId,
     private val holdLength: Duration,
     private val stalenessLimit: Duration,
+    private val startLimit: Duration,
 ) {
     private var hold = Hold(loop, store, holdLength)
 
@@ -115,6 +116,14 @@
         get() = state == MemberState.MEMBER && (hold.alive || loop.now() < vouching.vouchedUntil) &&
             loop.now() < replica.asOf + stalenessLimit
 
+    /**
+     * Whether tasks may be started. For that, what is known must be newer than for keeping what runs, since no task may start
+     * after its user was told that it is cancelled: either the state service has answered a moment ago, or all others
+     * promise that it answers nobody, and nothing can be confirmed then that they haven't told us before.
+     */
+    val mayStart: Boolean
+        get() = mayAct && (loop.now() < replica.asOf + startLimit || loop.now() < vouching.vouchedUntil)
+
     /**
      * Whether workers may still be told that somebody lives, though nothing may be commanded any more: the hold has run out
      * without a word of the state service. A zone that is cut off keeps its tasks so. Takers-over reckon with it ([Absences]).
--- a/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
+++ b/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
@@ -14,6 +14,7 @@
 import copperglade.storage.StateClient
 import copperglade.storage.Transaction
 import copperglade.storage.TransactionOutcome
+import copperglade.storage.UnsettledSheets
 import copperglade.storage.Urgency
 import copperglade.storage.WorkPlace
 import copperglade.storage.WorkRecord
@@ -39,6 +40,7 @@
         { job, page -> job.works[WorkPlace(page, owner.name)] },
         { job, page -> job.works[WorkPlace(page, owner.name)]?.let { RecordCodec.encode(it.value) } },
     )
+    private val unsettled = UnsettledSheets(loop, store, replica, Urgency.OUTCOME, ::ownership)
     private val dirtySince = LinkedHashMap<JobPage, Moment>()
 
     /** Pages with tasks given back, which somebody else could run. */
@@ -77,13 +79,15 @@
         packer.pack(changes).forEach(::write)
     }
 
+    private fun ownership() = Condition(Keys.block(owner.name), Stamp(owner.baton.number))
+
     private fun moreToCome(place: JobPage): Boolean = owner.runsOf(place.job).any {
         it.task.index / Keys.PAGE_TASKS == place.page && it.state != RunState.DONE && it.state != RunState.GONE
     }
 
     private fun write(sheet: SheetWrite) {
         val conditions = LinkedHashSet<Condition>()
-        conditions += Condition(Keys.block(owner.name), Stamp(owner.baton.number))
+        conditions += ownership()
         conditions += sheet.conditions
         // The live record changes with a cancellation, after which nothing may become done any more.
         sheet.places.mapTo(conditions) { Condition(Keys.live(it.job), replica.jobs.getValue(it.job).liveStamp()) }
@@ -96,18 +100,15 @@
                 replica.applied(transaction, outcome.stamp)
                 return@commit
             }
-            // Whatever stood in the way, or became of the write: read first, then try what is still news. What a late
-            // copy of it says stays true, so nothing has to be done against one.
+            // Whatever stood in the way, or became of the write: read first, then try what is still news.
             val again = {
                 packer.end(sheet)
                 since.forEach { (place, first) -> dirtySince.merge(place, first) { a, b -> minOf(a, b) } }
             }
-            if (outcome ==
-                TransactionOutcome.Refused
-            ) {
-                loop.after(AFTER_REFUSAL, again)
-            } else {
-                replica.fresh { loop.after(AFTER_CONFLICT, again) }
+            when (outcome) {
+                TransactionOutcome.Refused -> loop.after(AFTER_REFUSAL, again)
+                TransactionOutcome.Unknown -> unsettled.settle(sheet, ours = { owner.open }, again)
+                else -> replica.fresh { loop.after(AFTER_CONFLICT, again) }
             }
         }
     }
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -7,7 +7,7 @@
 /** What the operators may set; `docs/operations.md` says what each is for. */
 class Tuning(
     val holdLimit: Duration = 30.seconds,
-    val holdMargin: Duration = 2.seconds,
+    val holdMargin: Duration = USUAL_HOLD_MARGIN,
     val holdPartOfLease: Double = 0.55,
     val leadHold: Duration = 2500.milliseconds,
     val blocksPerZone: Int = 0,
@@ -21,4 +21,8 @@
     val headroom: Double = 1.15,
     val idleReplacements: Double = 0.6,
     val fadeReplacements: Double = 2.0,
-)
+) {
+    companion object {
+        val USUAL_HOLD_MARGIN = 2.seconds
+    }
+}
--- a/src/main/kotlin/copperglade/protocol/PeerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerWire.kt
@@ -66,13 +66,20 @@
     }
 }
 
+/** That a job's cancelled mark was written, with [stamp]. */
+class Cancellation(val job: JobId, val stamp: Stamp)
+
 /** Notes in binary, through Okio buffers. */
 object PeerWire {
     const val PATH = "/note"
 
     /** Body: the name of the member that asks to be vouched for. */
     const val VOUCH_PATH = "/vouch"
+
+    /** Body: cancellations that have just been written down. A version that does not know it answers 404, and reads them itself. */
+    const val CANCELLED_PATH = "/cancelled"
     private const val VERSION = 2
+    private const val CANCELLED_VERSION = 1
     private const val MOST_ITEMS = 100_000
 
     fun encode(note: PeerNote): ByteArray {
@@ -100,7 +107,7 @@
     }
 
     /** The note, or null where the bytes are not one of this version. */
-    fun decode(bytes: ByteArray): PeerNote? = try {
+    fun decode(bytes: ByteArray): PeerNote? = reading {
         val source = Buffer().write(bytes)
         if (source.readByte().toInt() != VERSION) {
             null
@@ -121,6 +128,28 @@
                 writesWanted = Double.fromBits(source.readLong()),
             )
         }
+    }
+
+    fun encodeCancelled(cancellations: List<Cancellation>): ByteArray {
+        val out = Buffer()
+        out.writeByte(CANCELLED_VERSION)
+        out.items(cancellations) {
+            text(it.job.text)
+            writeLong(it.stamp.number)
+        }
+        return out.readByteArray()
+    }
+
+    /** The cancellations, or null where the bytes are not of this version. */
+    fun decodeCancelled(bytes: ByteArray): List<Cancellation>? = reading {
+        val source = Buffer().write(bytes)
+        require(source.readByte().toInt() == CANCELLED_VERSION)
+        source.items { Cancellation(requireNotNull(JobId.parse(text())), Stamp(readLong())) }
+    }
+
+    /** What [read] makes of a message, or null where it is no such message. */
+    private fun <T> reading(read: () -> T): T? = try {
+        read()
     } catch (_: EOFException) {
         null
     } catch (_: IllegalArgumentException) {
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -35,7 +35,13 @@
  * A copy of the live records, kept up by one watch. The watch is reopened at a pace, since every opening costs a
  * request; whoever must not answer from the past asks for [fresh] first, and many such questions share one request.
  */
-class Replica(private val loop: EventLoop, private val store: StateClient, readers: Int = 1) {
+class Replica(
+    private val loop: EventLoop,
+    private val store: StateClient,
+    readers: Int = 1,
+    /** How old what is known may become before something is asked, though nobody has asked for it. */
+    private val quiet: Duration = QUIET,
+) {
     /** All readers together take at most half of the service's requests. */
     private val pace = maxOf(SHORTEST_PACE, (readers / (store.limits.requestsPerS * READING_SHARE)).seconds)
     val jobs = HashMap<JobId, Job>()
@@ -81,12 +87,12 @@
 
     fun start() {
         load(null, null)
-        loop.again({ QUIET }, ::keepCurrent)
+        loop.again({ quiet }, ::keepCurrent)
     }
 
     /** The open watch does not say how old its silence is, so something is asked now and then. */
     private fun keepCurrent() {
-        if (loop.now() >= asOf + QUIET && state == ReplicaState.CURRENT && !pulling) fresh {}
+        if (loop.now() >= asOf + quiet && state == ReplicaState.CURRENT && !pulling) fresh {}
     }
 
     private fun moveTo(next: ReplicaState, why: String) {
@@ -157,7 +163,8 @@
             val began = loop.now()
             take(outcome)
             takingTook = (loop.now().ms - began.ms).milliseconds
-            if (outcome is ChangesOutcome.Got && sent > asOf) asOf = sent
+            // What comes amid a new loading is not taken in, so it must not make what is known look newer than it is.
+            if (outcome is ChangesOutcome.Got && sent > asOf && state == ReplicaState.CURRENT) asOf = sent
             after(outcome)
             asked.forEach { it(outcome is ChangesOutcome.Got && state == ReplicaState.CURRENT) }
         }
@@ -199,6 +206,8 @@
         if (outcome !is ChangesOutcome.Got || state != ReplicaState.CURRENT) return
         val touched = Touched()
         for (change in outcome.changes) {
+            // Known already: an answer that comes after a new loading must not bring back what has been dropped since.
+            if (change.stamp <= cursor) continue
             when (change) {
                 is Change.Set -> put(change.key, change.value, change.stamp, touched)
                 is Change.Dropped -> drop(change.key, change.stamp, touched)
@@ -222,6 +231,18 @@
         announce(touched)
     }
 
+    /**
+     * Another controller says that it has written the cancelled mark of [id] with [stamp]. The mark is durable, so it may be
+     * acted on before the watch brings it; nothing relies on being told.
+     */
+    fun cancelledElsewhere(id: JobId, stamp: Stamp) {
+        val live = jobs[id]?.live ?: return
+        if (state != ReplicaState.CURRENT || live.value.cancelled || stamp <= live.stamp) return
+        val touched = Touched()
+        job(id, touched).live = Stamped(LiveRecord(live.value.spec, live.value.acceptedAtMs, cancelled = true), stamp)
+        announce(touched)
+    }
+
     private fun announce(touched: Touched) {
         if (touched.jobs.isEmpty() && !touched.standing && touched.notes.isEmpty()) return
         listeners.forEach { it.changed(touched) }
@@ -409,7 +430,7 @@
         private val ENDS_PACE = 1.seconds
         private val RETRY = 250.milliseconds
         private val WATCH_WAIT = 10.seconds
-        private val QUIET = 1500.milliseconds
+        val QUIET = 1500.milliseconds
         private const val READING_SHARE = 0.5
         private const val REST = 8
         private val LONGEST_PAUSE = 200.milliseconds
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/MixedTroublesTest.kt
@@ -0,0 +1,96 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import java.util.stream.LongStream
+
+/** Two or three troubles at once, by seed, four times a day, while users submit, ask and cancel. */
+class MixedTroublesTest {
+    /** Each begins at once and ends by itself or with [SimSite.assertKept]; all of them know how many seconds they last. */
+    private val troubles: List<SimSite.(Double) -> Unit> = listOf(
+        { seconds ->
+            state.outage = true
+            after(seconds) { state.outage = false }
+        },
+        { seconds -> (leader() ?: 0).let { node -> refuseController(node).also { after(seconds) { serveController(node) } } } },
+        { seconds -> isolateController(anyNode()).also { after(seconds) { heal() } } },
+        { seconds -> cutController(anyNode(), "workers").also { after(seconds) { heal() } } },
+        { seconds -> cutZone(SimSite.ZONES[sim.random.nextInt(2)]).also { after(seconds) { heal() } } },
+        { seconds -> cutPeers().also { after(seconds) { heal() } } },
+        { _ -> crash(leader() ?: 0, 150.0 + sim.random.nextInt(5000)) },
+        { _ -> (0 until nodes).forEach { crash(it, 200.0 + sim.random.nextInt(9000)) } },
+        { seconds -> freezeController(anyNode(), seconds * 1000) },
+        { seconds -> deafen(someWorkers()).also { after(seconds) { loseNothing() } } },
+        { seconds -> mute(someWorkers()).also { after(seconds) { loseNothing() } } },
+        { seconds -> holdReports(someWorkers()).also { after(seconds) { heal() } } },
+        { seconds -> repeat(3) { hang(sim.random.nextInt(8))?.let { worker -> after(seconds) { worker.resume() } } } },
+        { _ -> if (workerCount() > 0) killMachine(sim.random.nextInt(workerCount())) },
+        { _ -> if (workerCount() > 0) rebootMachine(sim.random.nextInt(workerCount())) },
+        { seconds ->
+            network.lateWriteOneIn = 5
+            after(seconds) { network.lateWriteOneIn = 0 }
+        },
+        { seconds ->
+            network.copyOneIn = 3
+            after(seconds) { network.copyOneIn = 0 }
+        },
+        { seconds ->
+            network.delayMs = { if (it.path == "/do" || it.from == "state") sim.random.nextInt(900).toDouble() else 0.0 }
+            after(seconds) { network.delayMs = { 0.0 } }
+        },
+        { seconds -> repeat(20) { after(it * seconds / 20) { oddRequest() } } },
+    )
+
+    private fun SimSite.after(seconds: Double, action: () -> Unit) = sim.after(seconds * 1000, action)
+
+    private fun SimSite.anyNode() = sim.random.nextInt(nodes)
+
+    private fun SimSite.someWorkers() = workerNames().filter { sim.random.nextInt(3) == 0 }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    fun `no rule is broken whatever meets`(seed: Long) {
+        val site = SimSite(Simulation(seed), nodes = if (seed % 3 == 0L) 5 else 3, scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0))
+        val random = site.sim.random
+        site.services(5)
+        repeat(24) { number ->
+            site.after(number * 4.0) {
+                val spec = SimSite.job(
+                    number + 1,
+                    tasks = 1 + random.nextInt(8),
+                    cpus = if (number % 4 == 0) 6.0 else 2.0,
+                    oneZone = number % 6 == 1,
+                    spread = number % 6 == 2,
+                    spot = number % 5 != 0,
+                    zone = SimSite.ZONES[number % 2].takeIf { number % 6 == 3 },
+                    etaS = 12.0,
+                )
+                val work = HashMap<Int, Double>()
+                site.submit(spec) { work.getOrPut(it) { 3.0 + random.nextDouble() * 25 } }
+            }
+        }
+        site.run(22.0)
+        var met = 0
+        repeat(4) {
+            val chosen = troubles.shuffled(random).take(2 + random.nextInt(2))
+            met += chosen.size
+            chosen.forEach { trouble -> site.after(random.nextDouble() * 3.0) { site.trouble(2.0 + random.nextDouble() * 20.0) } }
+            repeat(3) { site.after(random.nextDouble() * 8.0) { site.cancel(JobId("job-${1 + random.nextInt(24)}")) } }
+            if (random.nextInt(3) == 0) site.after(random.nextDouble() * 8.0) { site.cancel(JobId("job-${500 + random.nextInt(5)}")) }
+            site.run(20.0)
+        }
+        assertTrue(met >= 8)
+        site.run(6.0)
+        site.network.copyOneIn = 0
+        site.assertKept(240.0)
+    }
+
+    private companion object {
+        @JvmStatic
+        fun seeds(): LongStream = LongStream.range(1000, 1000 + SEEDS)
+
+        const val SEEDS = 60L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/RefereeTest.kt
@@ -0,0 +1,141 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import org.junit.jupiter.api.Test
+
+/**
+ * For each rule, controllers that break it: their settings are wrong, or what they say and hear is changed on the way, so
+ * that they behave like faulty ones. Rules that are not here are broken on purpose beside the tests of what guards them.
+ */
+class RefereeTest {
+    private fun SimSite.answersTo(path: String, change: (String, Reply) -> Reply) {
+        network.tamperAnswer =
+            { passage, request, reply -> if (passage.to == "users" && request.path == path) change(request.path, reply) else reply }
+    }
+
+    @Test
+    fun `a task in a zone that its job does not allow`() {
+        val site = SimSite(Simulation(401))
+        // Workers of the north are taken for ones of the south.
+        site.network.tamperRequest = { _, request ->
+            if (request.path != "/checkin") {
+                request
+            } else {
+                Request(
+                    request.method,
+                    request.path,
+                    request.body
+                        .decodeToString()
+                        .replace("\"north\"", "\"south\"")
+                        .encodeToByteArray(),
+                )
+            }
+        }
+        repeat(4) { site.submit(SimSite.job(1 + it, tasks = 8, cpus = 8.0, zone = "south", etaS = 30.0)) { 30.0 } }
+        site.run(60.0)
+        site.assertSees("wrong_place")
+    }
+
+    @Test
+    fun `a job that nobody submitted`() {
+        val site = SimSite(Simulation(402))
+        site.network.tamperAnswer = { passage, request, reply ->
+            if (passage.to == "users" && request.method == Method.GET &&
+                reply.status == 404
+            ) {
+                Reply(200, "{\"status\":\"done\"}".encodeToByteArray())
+            } else {
+                reply
+            }
+        }
+        repeat(20) { site.sim.after(10_000.0 + it * 100.0) { site.oddRequest() } }
+        site.run(20.0)
+        site.assertSees("invented")
+    }
+
+    @Test
+    fun `a job that was done and then is not`() {
+        val site = SimSite(Simulation(403))
+        site.submit(SimSite.job(1, tasks = 1)) { 2.0 }
+        site.run(40.0)
+        site.answersTo("/submissions/job-1") { _, reply ->
+            Reply(
+                reply.status,
+                reply.body
+                    .decodeToString()
+                    .replace("done\",", "running\",")
+                    .encodeToByteArray(),
+            )
+        }
+        site.run(40.0)
+        site.assertSees("went_back")
+    }
+
+    @Test
+    fun `an accepted job that is refused when it is submitted once more`() {
+        val site = SimSite(Simulation(404))
+        site.submit(SimSite.job(1, tasks = 1)) { 200.0 }
+        site.run(20.0)
+        site.answersTo("/submissions") { _, _ -> Reply(422) }
+        site.repeat(site.users.getValue(JobId("job-1")))
+        site.run(5.0)
+        site.assertSees("forgotten")
+    }
+
+    @Test
+    fun `a start after the cancellation was confirmed`() {
+        val site = SimSite(Simulation(405))
+        site.submit(SimSite.job(1, tasks = 40)) { 6.0 }
+        site.run(15.0)
+        // The user is told so, though nothing was written.
+        site.network.swallows = { it.path.endsWith("/cancel") }
+        site.users.getValue(JobId("job-1")).cancelledAt = site.sim.nowMs
+        site.run(20.0)
+        site.assertSees("started_cancelled")
+    }
+
+    @Test
+    fun `a job left waiting beside room`() {
+        // Controllers believe that the team is at its limit.
+        val site = SimSite(Simulation(406), toldCpusMax = 2.0)
+        site.submit(SimSite.job(1, tasks = 1, service = true)) { null }
+        site.submit(SimSite.job(2, tasks = 4)) { 5.0 }
+        site.calmSince = site.sim.nowMs
+        site.run(130.0)
+        site.assertSees("left_waiting")
+    }
+
+    @Test
+    fun `a class of which less than half is served`() {
+        val site = SimSite(Simulation(407), toldCpusMax = 2.0)
+        site.submit(SimSite.job(1, tasks = 1, service = true)) { null }
+        repeat(4) { number -> site.submit(SimSite.job(2 + number, tasks = 4)) { 5.0 } }
+        site.run(100.0)
+        site.checkServed()
+        site.assertSees("unserved")
+    }
+
+    @Test
+    fun `jobs that are accepted though they lack a field or fit no machine`() {
+        val site = SimSite(Simulation(408))
+        site.network.tamperRequest = { from, request ->
+            val text = request.body.decodeToString()
+            val lacking = from == "users" && request.path == "/submissions" && "\"manifest\"" !in text
+            if (lacking) {
+                Request(
+                    request.method,
+                    request.path,
+                    text.replace("\"pullGb\"", "\"manifest\":\"img-1\",\"pullGb\"").encodeToByteArray(),
+                )
+            } else {
+                request
+            }
+        }
+        repeat(20) { site.sim.after(10_000.0 + it * 100.0) { site.oddRequest() } }
+        site.run(20.0)
+        site.assertSees("accepted_bad")
+    }
+}
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -58,6 +58,7 @@
     /** The lease that the controllers are told; another than the workers' own only to see the referee at work. */
     private val toldLeaseS: Double = scale.leaseS,
     private val toldCpusMax: Double = scale.teamCpus,
+    private val toldCancelS: Double = scale.cancelS,
     val nodes: Int = 3,
     private val otherTeam: Team? = null,
     /** Another limit of staleness for the controllers of the first zone, only to see the referee at work. */
@@ -90,6 +91,12 @@
     var completions = 0
         private set
 
+    /** Jobs whose users were told that they are cancelled. */
+    val confirmedCancellations: Int get() = users.values.count { it.cancelledAt != null }
+
+    /** Nothing stands between the controllers, so that each knows of a cancellation before its user does. */
+    var knowsAtOnce = false
+
     /** What a user has been told and does. */
     inner class User(val spec: JobSpec, val work: (Int) -> Double?) {
         var accepted = false
@@ -99,9 +106,18 @@
         var answeredAt = 0.0
         val doneTasks = HashSet<Int>()
         val finished get() = told == "done" || told == "aborted"
+        val askedAt = sim.nowMs
+        var firstStartAt: Double? = null
+
+        /** When the answer came that was final; until one has come, the latest. */
+        var finishedAt = 0.0
+
+        /** Since when some of it has waited without a start, though there was room within its team's limit. */
+        var leftSince: Double? = null
     }
 
     init {
+        network.commandsSent = ::checkCommands
         network.listen(STATE, "state", worldLoop, state)
         network.listen(CLOUD, "cloud", worldLoop, cloud)
         repeat(endedBefore) { state.put(Keys.over(JobId("job-${ENDED_FROM + it}")), RecordCodec.encode(EndRecord(JobStatus.DONE, 1))) }
@@ -129,7 +145,7 @@
         objectives = Objectives(),
         reportS = scale.reportS,
         leaseS = toldLeaseS,
-        cancelS = scale.cancelS,
+        cancelS = toldCancelS,
         stateRps = scale.stateRps,
         stateWriteRps = scale.stateWriteRps,
         valueKb = scale.valueKb,
@@ -180,6 +196,29 @@
         return worker
     }
 
+    /** The state service refuses this controller alone. */
+    fun refuseController(node: Int) = network.refuse(name(node))
+
+    fun serveController(node: Int) = network.serveAgain(name(node))
+
+    /** Who leads, by the state service's own records; null while nobody does. */
+    fun leader(): Int? = state.text(Keys.LEAD)?.let { lead -> (0 until nodes).firstOrNull { "\"${name(it)}\"" in lead } }
+
+    /** Machines whose reports arrive, while answers and direct commands to them are lost. */
+    fun deafen(workers: Collection<String>) {
+        network.loses = { it.to in workers && (if (it.answer) it.path == "/checkin" else it.path == "/do") }
+    }
+
+    /** Machines that reach no controller, while direct commands reach them, and their answers come back. */
+    fun mute(workers: Collection<String>) {
+        network.loses = { it.from in workers && !it.answer }
+    }
+
+    /** Nothing is lost any more. */
+    fun loseNothing() {
+        network.loses = { false }
+    }
+
     /** Loses the state service and the other controllers, but not its workers. */
     fun isolateController(node: Int) {
         network.cut(name(node), "state")
@@ -237,6 +276,17 @@
 
     fun workerCount() = workers.size
 
+    /** Sessions that workers have begun because a lease of theirs ran out, and machines that are gone. */
+    val leasesOrMachinesLost: Long get() = workers.values.sumOf { it.session - 1 } + cloudMachines.count { it.gone }
+
+    fun killWorker(name: String) {
+        cloudMachines.firstOrNull { it.name == name && !it.gone }?.let(cloud::take)
+    }
+
+    /** What these machines report is held back until the cuts are healed; all else goes on. */
+    fun holdReports(workers: Collection<String>) =
+        workers.forEach { worker -> (0 until nodes).forEach { network.cutOneWay(worker, name(it)) } }
+
     private fun boot(machine: StandInCloud.Machine) {
         if (machine !in cloudMachines) cloudMachines += machine
         val endpoint = Endpoint(machine.address.substringBefore(':'), 9000)
@@ -275,6 +325,8 @@
         onMachine[task] = worker
         val user = users.getValue(task.job)
         if (!user.spec.allows(worker.type, worker.zone, worker.spot)) breach("wrong_place", "$task on ${worker.name}")
+        user.leftSince = null
+        if (user.firstStartAt == null) user.firstStartAt = sim.nowMs
         val zones = tasksOf.getOrPut(task.job) { HashMap() }.also { it[task] = worker.zone }.values
         if (user.spec.oneZone && zones.distinct().size > 1) breach("wrong_place", "$task not in one zone")
         if (zones.count { it == worker.zone } > user.spec.perZoneLimit) breach("wrong_place", "$task not spread")
@@ -294,10 +346,15 @@
         }
         if (done) {
             completions++
-            users.getValue(task.job).doneTasks += task.index
+            val user = users.getValue(task.job)
+            user.doneTasks += task.index
+            if (user.doneTasks.size == user.spec.tasks) whenComplete(user)
         }
     }
 
+    /** What users do at the moment at which the last task of a job ends. */
+    var whenComplete: (User) -> Unit = {}
+
     private fun checkCancelled() {
         onMachine.keys.forEach(::checkCancelled)
     }
@@ -307,6 +364,63 @@
         if (sim.nowMs - told > scale.cancelS * 1000) breach("ran_cancelled", "$task")
     }
 
+    /** A start sent after its job's cancellation was confirmed, by somebody who must have known or had stopped knowing anything. */
+    private fun checkCommands(body: ByteArray) {
+        val node = Json.read(body) ?: return
+        for (command in node.get("dispatches") ?: return) {
+            if (command.text("order") != "start") continue
+            val task = TaskId.parse(command.text("box")!!)!!
+            val told = users[task.job]?.cancelledAt ?: continue
+            if (knowsAtOnce || sim.nowMs - told > START_KNOWN_S * 1000) breach("started_cancelled", "$task")
+        }
+    }
+
+    /** From when on nothing may be left waiting; null while there are troubles. */
+    var calmSince: Double? = null
+
+    /** No job waits for 90 s, with no start, while a machine that fits has room and its team is under its limit. */
+    private fun checkLeft() {
+        val calm = calmSince ?: return
+        for (user in users.values) {
+            if (!user.accepted || user.finished || user.cancelAskedAt != null || !couldStart(user)) {
+                user.leftSince = null
+                continue
+            }
+            val since = user.leftSince ?: sim.nowMs.also { user.leftSince = it }
+            if (sim.nowMs - maxOf(since, calm) > LEFT_S * 1000) {
+                breach("left_waiting", "${user.spec.id}")
+                user.leftSince = null
+            }
+        }
+    }
+
+    private fun couldStart(user: User): Boolean {
+        val spec = user.spec
+        val standing = tasksOf[spec.id].orEmpty()
+        if (user.doneTasks.size + standing.size >= spec.tasks) return false
+        val limit = otherTeam?.takeIf { it.name == spec.team }?.cpusMax ?: scale.teamCpus
+        if ((usedCpus[spec.team] ?: 0.0) + spec.request.cpus > limit + 1e-6) return false
+        return workers.values.any { worker ->
+            val zones = standing.values
+            worker.alive && !worker.hanging && worker.freeCpus() >= spec.request.cpus &&
+                spec.allows(worker.type, worker.zone, worker.spot) && (!spec.oneZone || zones.all { it == worker.zone }) &&
+                zones.count { it == worker.zone } < spec.perZoneLimit
+        }
+    }
+
+    /** Half of each class, team and class's largest jobs has begun, the largest within four minutes of their submission. */
+    fun checkServed() {
+        val counted = users.values.filter { it.accepted && it.cancelAskedAt == null }
+        val groups = counted.groupBy { "class ${it.spec.load}" } + counted.groupBy { "team ${it.spec.team}" } +
+            counted.groupBy { it.spec.load }.map { (load, its) ->
+                "largest of $load" to its.sortedByDescending { it.spec.tasks }.take((its.size + LARGEST_OF - 1) / LARGEST_OF)
+            }
+        for ((group, its) in groups) {
+            val served = its.count { user -> user.firstStartAt?.let { it - user.askedAt <= BEGUN_S * 1000 } ?: false }
+            if (served * 2 < its.size) breach("unserved", "$served of ${its.size} of $group")
+        }
+    }
+
     /** To be called when all troubles have been over for 75 s: each job by itself must have had an answer since. */
     fun checkForgotten() {
         for (user in users.values) {
@@ -321,6 +435,17 @@
 
     // ---- users ----
 
+    /** A repeat of the submission of a job, whose answer is looked at like a poll. */
+    fun repeat(user: User) {
+        val body = Json.write { JobSpecCodec.write(this, user.spec) }
+        val askedAt = sim.nowMs
+        request(Request(Method.POST, "/submissions", body)) { reply ->
+            if (reply?.status in REFUSED) breach("forgotten", "repeat of ${user.spec.id}: ${reply?.status}")
+            if (reply?.status == 201) breach("forgotten", "${user.spec.id} accepted once more")
+            if (reply?.status == 200) learn(user, Json.read(reply.body)!!.text("status")!!, askedAt)
+        }
+    }
+
     fun submit(spec: JobSpec, work: (Int) -> Double?) {
         val user = User(spec, work)
         users[spec.id] = user
@@ -337,26 +462,42 @@
                     user.answeredAt = sim.nowMs
                     later(5.0) { poll(user) }
                 }
+                // Refused as what it is not; a known job is answered with its state whatever else.
                 400, 422 -> breach("forgotten", "${user.spec.id} refused with ${reply.status}")
                 else -> later(1.0) { ask(user) }
             }
         }
     }
 
+    /** A question beside the usual ones. */
+    fun poll(id: JobId) {
+        val user = users.getValue(id)
+        val askedAt = sim.nowMs
+        request(Request(Method.GET, "/submissions/$id")) { reply ->
+            if (reply?.status == 404) breach("forgotten", "$id is unknown")
+            if (reply?.status == 200) learn(user, Json.read(reply.body)!!.text("status")!!, askedAt)
+        }
+    }
+
     private fun poll(user: User) {
+        val askedAt = sim.nowMs
         request(Request(Method.GET, "/submissions/${user.spec.id}")) { reply ->
             if (reply?.status == 404) breach("forgotten", "${user.spec.id} is unknown")
             if (reply?.status == 200) {
                 user.answeredAt = sim.nowMs
-                learn(user, Json.read(reply.body)!!.text("status")!!)
+                learn(user, Json.read(reply.body)!!.text("status")!!, askedAt)
             }
             // Also what is long done is asked for to the end.
             later(if (user.finished) 15.0 else 5.0) { poll(user) }
         }
     }
 
-    private fun learn(user: User, status: String) {
+    /** A question that was asked before the final answer came may still be answered as things were then: two at a time. */
+    private fun learn(user: User, status: String, askedAt: Double) {
+        val final = status == "done" || status == "aborted"
+        if (user.finished && !final && askedAt < user.finishedAt) return
         if (user.finished && status != user.told) breach("went_back", "${user.spec.id}: ${user.told}, then $status")
+        if (!user.finished) user.finishedAt = sim.nowMs
         if (status == "done" && user.doneTasks.size < user.spec.tasks) breach("not_done", "${user.spec.id}")
         if (status == "aborted" &&
             user.cancelAskedAt == null
@@ -371,17 +512,48 @@
         val user = users[id] ?: return
         if (!user.accepted || user.finished) return
         if (user.cancelAskedAt == null) user.cancelAskedAt = sim.nowMs
+        val askedAt = sim.nowMs
         request(Request(Method.POST, "/submissions/$id/cancel")) { reply ->
             if (reply?.status ==
                 200
             ) {
-                learn(user, Json.read(reply.body)!!.text("status")!!)
+                learn(user, Json.read(reply.body)!!.text("status")!!, askedAt)
             } else {
                 later(1.0) { cancel(id) }
             }
         }
     }
 
+    /** Users repeat submissions, cancel what is done, ask for what nobody sent, and send what can't run or lacks a field. */
+    fun oddRequest() {
+        val known = users.values.filter { it.accepted }
+        val number = ODD_FROM + sim.random.nextInt(10_000)
+        when (sim.random.nextInt(5)) {
+            0 -> known.filter { !it.finished }.randomly()?.let(::repeat)
+            1 -> known.filter { it.told == "done" }.randomly()?.let { user ->
+                val askedAt = sim.nowMs
+                request(Request(Method.POST, "/submissions/${user.spec.id}/cancel")) { reply ->
+                    if (reply?.status == 404) breach("forgotten", "cancel of ${user.spec.id}")
+                    if (reply?.status == 200) learn(user, Json.read(reply.body)!!.text("status")!!, askedAt)
+                }
+            }
+            2 -> request(Request(Method.GET, "/submissions/job-$number")) { if (it?.status == 200) breach("invented", "job-$number") }
+            3 -> sendBad(number) { it.replace("\"vcpus\":2.0", "\"vcpus\":2000.0") }
+            else -> sendBad(number) { it.replace("\"manifest\":\"img-1\",", "") }
+        }
+    }
+
+    private fun sendBad(number: Int, spoil: (String) -> String) {
+        val good = Json.write { JobSpecCodec.write(this, job(number, tasks = 1)) }.decodeToString()
+        val bad = spoil(good)
+        check(bad != good)
+        request(Request(Method.POST, "/submissions", bad.encodeToByteArray())) { reply ->
+            if (reply?.status == 200 || reply?.status == 201) breach("accepted_bad", "job-$number")
+        }
+    }
+
+    private fun <T> List<T>.randomly(): T? = if (isEmpty()) null else this[sim.random.nextInt(size)]
+
     /** One request through a random controller, as the load balancer would send it. */
     fun request(request: Request, done: (Reply?) -> Unit) {
         val node = sim.random.nextInt(nodes)
@@ -396,6 +568,7 @@
             if (sim.nowMs >= next) {
                 next = sim.nowMs + 500
                 checkCancelled()
+                checkLeft()
             }
         }
     }
@@ -410,6 +583,14 @@
         const val DRIFT = 0.0001
         const val FORGOTTEN_S = 75.0
         const val ENDED_FROM = 100_000
+        const val ODD_FROM = 700_000
+        val REFUSED = listOf(400, 404, 422)
+        const val LEFT_S = 90.0
+        const val BEGUN_S = 240.0
+        const val LARGEST_OF = 5
+
+        /** Who neither reads the state service nor hears the others stops starting tasks this soon, and a little for the clocks. */
+        const val START_KNOWN_S = 3.2
         val ZONES = listOf("north", "south")
         val TEAM = TeamName("team")
         private val STATE = Endpoint("10.2.0.1", 2379)
@@ -425,11 +606,15 @@
             spot: Boolean = true,
             image: Int = 1,
             team: TeamName = TEAM,
+            zone: String? = null,
+            etaS: Double = 8.0,
         ): JobSpec {
             val text = """{"nameId":"job-$number","load":"${if (service) "web" else "batch"}","crew":"$team",
                 "haul":"${if (service) "daemon" else "array"}","urgency":"${if (service) "urgent" else "normal"}",
                 "boxes":$tasks,"vcpus":$cpus,"gpus":0.0,"memoryGb":1.0,"manifest":"img-$image","pullGb":1.5,"fleets":null,
-                "depot":null,"oneZone":$oneZone,"spread":$spread,"borrowed":$spot,"etaS":${if (service) 0.0 else 8.0},
+                "depot":${zone?.let {
+                "\"$it\""
+            }},"oneZone":$oneZone,"spread":$spread,"borrowed":$spot,"etaS":${if (service) 0.0 else etaS},
                 "waypointS":0.0,"unloadS":0.0,"dueS":${if (service) "null" else "60.0"}}"""
             return (JobSpecCodec.parse(Json.read(text.toByteArray())) as ParsedJob.Good).spec
         }
--- a/src/test/kotlin/copperglade/sim/Simulation.kt
+++ b/src/test/kotlin/copperglade/sim/Simulation.kt
@@ -73,7 +73,13 @@
         sim.after(delay.inWholeMicroseconds / 1000.0 / rate) { whenAwake { if (alive) action() } }
 }
 
-/** Hosts and the ways between them, with cuts that hold messages back and deliver them late. */
+/** One way of a message: a request to a host, or the answer that comes back from it. */
+class Passage(val from: String, val to: String, val path: String, val answer: Boolean)
+
+/**
+ * Hosts and the ways between them, with cuts that hold messages back and deliver them late, messages that are lost, late or
+ * come twice, and services that refuse a single caller. What happened is counted, so that a test can tell that it did.
+ */
 class SimNetwork(private val sim: Simulation) {
     private class Host(val name: String, val loop: SimLoop, val handler: RequestHandler)
 
@@ -95,44 +101,102 @@
         cuts += from to to
     }
 
+    // ---- copies ----
+
     /** One in so many of the workers' reports arrives once more, up to [latestCopyMs] later; 0: none. */
     var copyOneIn = 0
     var latestCopyMs = 60_000
+    var copiesDelivered = 0
+        private set
 
     /** What becomes of a report before it arrives once more; other than itself only to see the referee at work. */
     var forge: (ByteArray) -> ByteArray = { it }
 
-    /** Requests that were sent. */
-    var calls = 0
-        private set
-
-    /** Requests that never arrive anywhere. */
-    var swallows: (Request) -> Boolean = { false }
-
     private fun copy(to: Endpoint, request: Request) {
         sim.after(500.0 + sim.random.nextInt(latestCopyMs)) {
             val present = hosts[to]
             if (present != null && present.loop.alive) {
+                copiesDelivered++
                 present.handler.handle(Request(request.method, request.path, forge(request.body))) {}
             }
         }
     }
 
+    // ---- losses, lateness, refusals ----
+
+    /** Requests that were sent. */
+    var calls = 0
+        private set
+
+    /** Requests that never arrive anywhere. */
+    var swallows: (Request) -> Boolean = { false }
+
+    /** Messages that are lost on the way. */
+    var loses: (Passage) -> Boolean = { false }
+    var lost = 0
+        private set
+
+    /** By how many milliseconds a message is later than usual. */
+    var delayMs: (Passage) -> Double = { 0.0 }
+    var delayed = 0
+        private set
+
+    /** One in so many transactions gets no answer and is carried out 2 to 12 s later, after newer ones; 0: none. */
+    var lateWriteOneIn = 0
+    var lateWrites = 0
+        private set
+    var lateWritesApplied = 0
+        private set
+
+    /** Callers that the state service refuses while it serves the others; their open watches wait meanwhile. */
+    private val refused = HashSet<String>()
+    private val withheld = ArrayList<Pair<String, () -> Unit>>()
+    var refusals = 0
+        private set
+
+    fun refuse(name: String) {
+        refused += name
+    }
+
+    fun serveAgain(name: String) {
+        refused -= name
+        val (now, later) = withheld.partition { it.first == name }
+        withheld.clear()
+        withheld += later
+        now.forEach { it.second() }
+    }
+
+    /** What becomes of requests and answers; other than themselves only to see the referee at work. */
+    var tamperRequest: (String, Request) -> Request = { _, request -> request }
+    var tamperAnswer: (Passage, Request, Reply) -> Reply = { _, _, reply -> reply }
+
+    /** Told of every command that sets out, by whom and with what body. */
+    var commandsSent: (ByteArray) -> Unit = {}
+
     /** Ends all cuts; what was held back is delivered now, however late. */
     fun heal() {
         cuts.clear()
         val late = held.toList()
         held.clear()
-        late.forEach { (from, to, deliver) -> travel(from, to, deliver) }
+        late.forEach { (from, to, deliver) -> travel(from, to, 0.0, deliver) }
     }
 
-    private fun travel(from: String, to: String, deliver: () -> Unit) {
-        sim.after(1.0 + sim.random.nextDouble() * 4.0) {
+    private fun travel(from: String, to: String, extraMs: Double, deliver: () -> Unit) {
+        if (extraMs > 0.0) delayed++
+        sim.after(1.0 + sim.random.nextDouble() * 4.0 + extraMs) {
             if (from to to in cuts) held += Triple(from, to, deliver) else deliver()
         }
     }
 
-    fun callerOf(name: String, loop: SimLoop) = HttpCaller { to, request, timeout, done ->
+    private fun travel(passage: Passage, deliver: () -> Unit) {
+        if (loses(passage)) {
+            lost++
+        } else {
+            travel(passage.from, passage.to, delayMs(passage), deliver)
+        }
+    }
+
+    fun callerOf(name: String, loop: SimLoop) = HttpCaller { to, original, timeout, done ->
         var over = false
 
         fun finish(reply: Reply?) {
@@ -142,22 +206,50 @@
         }
         calls++
         loop.after(timeout) { finish(null) }
+        val request = tamperRequest(name, original)
         if (copyOneIn > 0 && request.path == "/checkin" && sim.random.nextInt(copyOneIn) == 0) copy(to, request)
+        if (request.path == "/do") commandsSent(request.body)
         val host = hosts[to]
         if (swallows(request)) return@HttpCaller
         if (host == null || !host.loop.alive) {
             loop.after(2.milliseconds) { finish(null) }
-        } else {
-            travel(name, host.name) {
-                val present = hosts[to]
-                present?.loop?.whenAwake {
+            return@HttpCaller
+        }
+        val path = request.path.substringBefore('?')
+        val back = Passage(host.name, name, path, answer = true)
+
+        fun answer(reply: Reply) {
+            val honest = tamperAnswer(back, request, reply)
+            if (path == "/checkin" && honest.status == OK) commandsSent(honest.body)
+            travel(back) { loop.whenAwake { finish(honest) } }
+        }
+        travel(Passage(name, host.name, path, answer = false)) {
+            if (host.name == STATE && name in refused) {
+                refusals++
+                return@travel answer(Reply(UNAVAILABLE))
+            }
+            val late = path == "/multi" && lateWriteOneIn > 0 && sim.random.nextInt(lateWriteOneIn) == 0
+            if (late) return@travel carryOutLate(to, request)
+            hosts[to]?.let { present ->
+                present.loop.whenAwake {
                     if (present.loop.alive) {
                         present.handler.handle(Request(request.method, request.path, request.body)) { reply ->
-                            travel(present.name, name) { loop.whenAwake { finish(reply) } }
+                            if (host.name == STATE && name in refused) withheld += name to { answer(reply) } else answer(reply)
                         }
                     }
                 }
             }
         }
     }
+
+    private fun carryOutLate(to: Endpoint, request: Request) = sim.after(2_000.0 + sim.random.nextInt(10_000)) {
+        lateWrites++
+        hosts[to]?.handler?.handle(request) { if (it.status == OK) lateWritesApplied++ }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val STATE = "state"
+    }
 }
--- a/src/test/kotlin/copperglade/standin/StandInState.kt
+++ b/src/test/kotlin/copperglade/standin/StandInState.kt
@@ -34,6 +34,10 @@
     private var permits = 0L
     private var outageBegan: Moment? = null
 
+    /** Requests that met an outage. */
+    var refusedInOutage = 0
+        private set
+
     init {
         tick()
     }
@@ -52,6 +56,9 @@
         values[key] = Value(Json.read(value)!!, ledger, null)
     }
 
+    /** The value of [key] as text, or null. */
+    fun text(key: String): String? = values[key]?.data?.toString()
+
     fun keys(prefix: String): List<String> = values.tailMap(prefix).keys.takeWhile { it.startsWith(prefix) }
 
     private fun tick() {
@@ -85,7 +92,10 @@
     }
 
     override fun handle(request: Request, responder: Responder) {
-        if (outage) return responder.send(Reply(503))
+        if (outage) {
+            refusedInOutage++
+            return responder.send(Reply(503))
+        }
         val path = request.path.substringBefore('?')
         val query = request.path
             .substringAfter('?', "")
--- a/src/test/kotlin/copperglade/standin/StandInWorker.kt
+++ b/src/test/kotlin/copperglade/standin/StandInWorker.kt
@@ -59,7 +59,8 @@
 
     private val held = ArrayList<Held>()
     private val images = HashSet<String>()
-    private var session = 1L
+    var session = 1L
+        private set
     private var sessionBegan = loop.now()
     private var answeredSentAt: Moment? = null
     private var tally = 0L
@@ -79,6 +80,9 @@
     /** Tasks that have their image and have not ended. */
     fun running(): List<TaskId> = held.filter { it.state == State.RUNNING }.map { it.task }
 
+    /** CPUs that no task takes or waits for here. */
+    fun freeCpus(): Double = cpus - held.filter { it.state != State.EXITED }.sumOf { it.spec.request.cpus }
+
     fun start() = tick()
 
     fun die() {
