--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -44,7 +44,7 @@
         // Until it knows the others, it takes no more than would be left to it if they all lived.
         firstShare = BUDGET_USED / (settings.peers.size + 1),
     )
-    private val staleness = stalenessLimit(settings, tuning)
+    private val staleness = stalenessLimit(settings.leaseS, settings.cancelS, tuning)
     private val quiet = minOf(Replica.QUIET, staleness / READINGS_IN_STALENESS)
     private val replica = Replica(loop, store, readers = settings.peers.size + 1, quiet)
     private val vouching = Vouching(loop, http, store, settings.member, settings.peers)
@@ -301,8 +301,8 @@
          * then the worker's lease. The margin covers the drift of the clocks, a thousandth of both together; where there is
          * little time between lease and cancellation, it is a third of that.
          */
-        fun stalenessLimit(settings: PlatformSettings, tuning: Tuning): Duration {
-            val between = (settings.cancelS - settings.leaseS).seconds
+        fun stalenessLimit(leaseS: Double, cancelS: Double, tuning: Tuning): Duration {
+            val between = (cancelS - leaseS).seconds
             val margin = if (tuning.holdMargin > Tuning.USUAL_HOLD_MARGIN) tuning.holdMargin else minOf(tuning.holdMargin, between / 3)
             if (between - margin < SHORTEST_STALENESS) {
                 throw BadSetting("deployment.workers.cancel_s: lease_s and hold.margin.s ($margin) leave no second of it to act in")
--- /dev/null
+++ b/src/test/kotlin/copperglade/coordination/StalenessTest.kt
@@ -0,0 +1,42 @@
+package copperglade.coordination
+
+import copperglade.protocol.BadSetting
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/** The age of knowledge and the workers' lease together stay below `cancel_s`, clocks included, or the settings are refused. */
+class StalenessTest {
+    @Test
+    fun `whatever settings are accepted leave time for the lease`() {
+        val random = Random(1)
+        var accepted = 0
+        repeat(20_000) {
+            val leaseS = 1.0 + random.nextDouble() * 60.0
+            val cancelS = leaseS + 0.01 + random.nextDouble() * random.nextDouble() * 60.0
+            val tuning = Tuning(holdMargin = (500 + random.nextInt(8000)).milliseconds)
+            val limit = try {
+                Controller.stalenessLimit(leaseS, cancelS, tuning).toDouble(DurationUnit.SECONDS)
+            } catch (_: BadSetting) {
+                return@repeat
+            }
+            accepted++
+            // Both clocks may run 0.05% slower than the user's; a timer is a few milliseconds late.
+            val gone = (limit + leaseS) * 1.001 + 0.02
+            assertTrue(gone < cancelS, "$gone s of $cancelS with a lease of $leaseS")
+        }
+        assertTrue(accepted > 10_000, "$accepted accepted")
+    }
+
+    @Test
+    fun `settings that leave no time to act are refused by name`() {
+        val fault = assertThrows(BadSetting::class.java) { Controller.stalenessLimit(10.0, 11.0, Tuning()) }
+        assertTrue("cancel_s" in fault.message!!)
+        val margin =
+            assertThrows(BadSetting::class.java) { Controller.stalenessLimit(10.0, 30.0, Tuning(holdMargin = 19_500.milliseconds)) }
+        assertTrue("hold.margin.s" in margin.message!!)
+    }
+}
--- a/src/test/kotlin/copperglade/protocol/WireTest.kt
+++ b/src/test/kotlin/copperglade/protocol/WireTest.kt
@@ -50,6 +50,19 @@
         assertEquals(field, (parsed as ParsedJob.Bad).why.field)
     }
 
+    @Test
+    fun `cancellations survive their own wire form, and other bytes are none`() {
+        val sent = listOf(Cancellation(JobId("job-7"), Stamp(12)), Cancellation(JobId("job-000412"), Stamp(1L shl 40)))
+        val bytes = PeerWire.encodeCancelled(sent)
+        assertEquals(sent.map { it.job to it.stamp }, PeerWire.decodeCancelled(bytes)!!.map { it.job to it.stamp })
+        val random = Random(2)
+        repeat(2000) {
+            val broken = bytes.copyOf(random.nextInt(bytes.size))
+            if (broken.size > 1) broken[random.nextInt(broken.size)] = random.nextInt(256).toByte()
+            assertNull(PeerWire.decodeCancelled(broken))
+        }
+    }
+
     @Test
     fun `strict reading refuses other text than one value in UTF-8`() {
         assertNull(Json.readStrict(byteArrayOf('"'.code.toByte(), 0xC3.toByte(), '"'.code.toByte())))
--- a/src/test/kotlin/copperglade/storage/SheetPackerTest.kt
+++ b/src/test/kotlin/copperglade/storage/SheetPackerTest.kt
@@ -5,6 +5,7 @@
 import copperglade.protocol.Endpoint
 import copperglade.protocol.JobId
 import copperglade.protocol.JobKind
+import copperglade.protocol.Stamp
 import copperglade.sim.SimLoop
 import copperglade.sim.SimNetwork
 import copperglade.sim.SimSite
@@ -12,6 +13,7 @@
 import copperglade.standin.StandInState
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import java.util.BitSet
@@ -19,7 +21,8 @@
 
 /** Sheets against a plain map of pages, with many writes under way at a time and some of them applied twice over. */
 class SheetPackerTest {
-    private class Bench(seed: Long) {
+    /** With [lateOneIn], one write in so many has no answer and is applied seconds later; [settles]: the writer sees to its end. */
+    private class Bench(seed: Long, private val lateOneIn: Int = 0, private val settles: Boolean = true) {
         val sim = Simulation(seed)
         private val network = SimNetwork(sim)
         private val loop = SimLoop(sim)
@@ -34,13 +37,16 @@
             { job, page -> job.pages[page] },
             { job, page -> job.pages[page]?.let { RecordCodec.encode(it.value) } },
         )
+        private val unsettled = UnsettledSheets(loop, store, replica, Urgency.ASSIGNMENT) { Condition("cg/now/none", Stamp.ABSENT) }
         val model = HashMap<JobPage, String>()
+        val late get() = network.lateWrites
 
         init {
             network.listen(AT, "state", loop, service)
             sim.run(500.0)
             repeat(JOBS) { put(Keys.live(JobId("job-$it")), RecordCodec.encode(LiveRecord(SimSite.job(it, tasks = 300), 0, false))) }
             sim.run(500.0)
+            network.lateWriteOneIn = lateOneIn
         }
 
         private fun put(key: String, value: ByteArray) {
@@ -71,6 +77,13 @@
                         sheet.places.forEach { model[it] = RecordCodec.encode(pages.getValue(it)).decodeToString() }
                         replica.applied(transaction, outcome.stamp)
                     }
+                    if (outcome == TransactionOutcome.Unknown && settles) {
+                        unsettled.settle(sheet, ours = { true }) {
+                            sheet.places.forEach(::adopt)
+                            packer.end(sheet)
+                        }
+                        return@commit
+                    }
                     // Its end is known a little later than its effect, as after a conflict.
                     loop.after(sim.random.nextInt(40).milliseconds) { packer.end(sheet) }
                 }
@@ -78,8 +91,16 @@
             sim.run(sim.random.nextInt(12).toDouble())
         }
 
+        /** What has become of a page whose write had no answer. */
+        private fun adopt(place: JobPage) {
+            replica.jobs[place.job]
+                ?.pages
+                ?.get(place.page)
+                ?.let { model[place] = RecordCodec.encode(it.value).decodeToString() }
+        }
+
         fun reread(): Map<JobPage, String> {
-            sim.run(2000.0)
+            sim.run(if (lateOneIn > 0) 16_000.0 else 2000.0)
             val fresh = Replica(loop, StateClient(loop, network.callerOf("reader", loop), AT, limits)).also { it.start() }
             sim.run(2000.0)
             return fresh.jobs.values
@@ -103,6 +124,29 @@
         assertTrue(bench.model.size > 50)
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [5, 6, 7, 8])
+    fun `a write that is carried out late leaves every page in one sheet, as it was written last`(seed: Long) {
+        val bench = Bench(seed, lateOneIn = 6)
+        repeat(12) {
+            repeat(12) { bench.step() }
+            assertEquals(bench.model, bench.reread())
+        }
+        assertTrue(bench.late > 20, "${bench.late} writes were late")
+    }
+
+    @Test
+    fun `a writer that does not see to the end of such writes is caught`() {
+        val mistaken = (5L..8L).any { seed ->
+            val bench = Bench(seed, lateOneIn = 6, settles = false)
+            (1..12).any {
+                repeat(12) { bench.step() }
+                bench.model != bench.reread()
+            }
+        }
+        assertTrue(mistaken)
+    }
+
     private companion object {
         const val JOBS = 40
         val AT = Endpoint("10.2.0.1", 2379)
