--- a/src/test/kotlin/copperglade/sim/MeetingsTest.kt
+++ b/src/test/kotlin/copperglade/sim/MeetingsTest.kt
@@ -92,8 +92,8 @@
         val owner = (0 until site.nodes).filter { it != site.leader() }.maxBy { onMachinesOf(site, it).size }
         val cancelled = onMachinesOf(site, owner)
         assertTrue(cancelled.isNotEmpty())
-        // It ends before it hears of the cancellations.
-        site.crash(owner, 60_000.0)
+        // It ends before it hears of the cancellations, and is back in time to promise the others their blocks.
+        site.crash(owner, 8_000.0)
         val confirmed = cancelAndConfirm(site, cancelled, withinS = 2.4)
         var granted = false
         // The grant of its blocks is the last that anybody hears from the state service.
