A machine that counts from the start again is given work though its reports are in doubt

Since nothing is placed where a worker's own reports stay out, a machine that began anew would have stayed empty until its numbers passed those of its earlier life, for minutes: reports in doubt say nothing, but they come.

--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -266,6 +266,7 @@
     private fun answerInDoubt(machine: Machine, report: Report): ByteArray? {
         fence(machine)
         if (loop.now() >= machine.heardAt + (context.reportS * SILENT_REPORTS).seconds) return null
+        machine.reportsArrive(loop.now())
         machine.answeredAt = loop.now()
         return answer(report)
     }
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -122,6 +122,11 @@
         formerTally = tally
     }
 
+    /** Reports come, though what they say is in doubt: a machine that began anew may count from the start for minutes. */
+    fun reportsArrive(now: Moment) {
+        reportedAt = now
+    }
+
     /** Takes note that the worker itself sent [report] and waits for the answer. */
     fun sentBy(report: Report, now: Moment) {
         reportedAt = now
--- a/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/copperglade/sim/AddedRulesTest.kt
@@ -271,6 +271,28 @@
         assertKept(site)
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [78, 79])
+    fun `a machine that counts from the start again is given work soon`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 1, teamCpus = 200.0))
+        services(site, 4, tasks = 8)
+        // Long enough that its new reports stay below its old ones for minutes.
+        site.run(150.0)
+        val rebooted = site
+            .runningTasks()
+            .values
+            .first()
+            .name
+        site.rebootMachine(site.workerNames().indexOf(rebooted))
+        // What was on it is started there again at once; the next work comes when its old reports are long past.
+        site.run(12.0)
+        repeat(4) { site.cancel(JobId("job-${500 + it}")) }
+        repeat(4) { site.submit(SimSite.job(600 + it, tasks = 8, service = true, spot = false)) { null } }
+        site.run(20.0)
+        assertTrue(site.runningTasks().values.any { it.name == rebooted }, "$rebooted stays empty")
+        assertEquals(emptyList<String>(), site.breaches)
+    }
+
     @Test
     fun `the referee sees a machine that was given up although it was back at once`() {
         val site = SimSite(Simulation(77), toldLeaseS = 2.0)
