Fleet: pages of the list are paid for, late boots written off, fragmented room rented for

Listing moves to a class of its own. Only the first page was taken from the cloud's budget: at 4,000 machines, eight pages every two seconds, the list alone would use what the leader may ask, and a page refused with 429 lost the whole reading. A machine that boots for longer than its type's boots have shown no longer counts as on its way.

--- a/src/main/kotlin/copperglade/coordination/BoundDemand.kt
+++ b/src/main/kotlin/copperglade/coordination/BoundDemand.kt
@@ -1,5 +1,6 @@
 package copperglade.coordination
 
+import copperglade.protocol.JobSpec
 import copperglade.protocol.MachineRoom
 import copperglade.protocol.Resources
 import copperglade.protocol.Team
@@ -20,21 +21,31 @@
 /**
  * Waiting work that can't use every machine. The fleet as a whole may be large enough while all of its room is elsewhere:
  * a job bound to a zone that had lost its machines, the rest of them full of services, waited for ever, since there were CPUs
- * enough in the other zone.
+ * enough in the other zone. Nor did a task of six CPUs ever start where two machines had four CPUs left each.
  */
 object BoundDemand {
-    fun of(jobs: Collection<Job>, teams: Map<TeamName, Team>, zoneOf: (Job) -> String?): Map<Binding, BoundWork> {
+    /**
+     * @param zoneOf the zone in which a job that must stay in one has begun.
+     * @param fragmented whether a task of the job has waited for long though all free pieces together would hold it.
+     */
+    fun of(
+        jobs: Collection<Job>,
+        teams: Map<TeamName, Team>,
+        zoneOf: (Job) -> String?,
+        fragmented: (Job) -> Boolean,
+    ): Map<Binding, BoundWork> {
         val bound = HashMap<Binding, BoundWork>()
-        if (jobs.none { job -> job.spec?.let { it.zone != null || it.types != null || it.oneZone } == true }) return bound
+        val waitingJobs = jobs.filter { it.spec != null && it.wantedTasks > it.assignments().size && !it.blocked }
+        if (waitingJobs.none { isBound(it.spec!!) || fragmented(it) }) return bound
         val used = HashMap<TeamName, Double>()
         for (job in jobs) job.spec?.let { used.merge(it.team, job.assignments().size * it.request.cpus, Double::plus) }
-        for (job in jobs) {
+        for (job in waitingJobs) {
             val spec = job.spec ?: continue
-            if (job.cancelled || job.complete || job.blocked) continue
+            if (job.cancelled || job.complete || job.mistaken) continue
             val zone = spec.zone ?: if (spec.oneZone) zoneOf(job) else null
-            if (zone == null && spec.types == null) continue
-            val waiting = spec.tasks - job.done.cardinality() - job.assignments().size
-            if (waiting <= 0) continue
+            val isFragmented = zone == null && spec.types == null
+            if (isFragmented && !fragmented(job)) continue
+            val waiting = if (isFragmented) 1 else job.wantedTasks - job.assignments().size
             val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
             val within = max(0.0, limit - (used[spec.team] ?: 0.0))
             if (within < spec.request.cpus) continue
@@ -46,6 +57,8 @@
         return bound
     }
 
+    private fun isBound(spec: JobSpec) = spec.zone != null || spec.types != null || spec.oneZone
+
     /** CPUs of room that such work could have at once. */
     fun room(binding: Binding, work: BoundWork, rooms: Collection<MachineRoom>): Double = rooms
         .filter { it.usable && binding.allows(it.type, it.zone, it.spot) && work.largest.fitsIn(it.free) }
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -52,9 +52,9 @@
 
     private class RentedMachine(val kind: Kind, val at: Moment)
 
-    private var listed: Map<MachineName, ListedMachine> = emptyMap()
-    private var listedAt = Moment.NEVER
-    private var listing = false
+    private val listing = MachineListing(loop, http, cloud, budget, ::listRead)
+    private val listed: Map<MachineName, ListedMachine> get() = listing.machines
+    private val bootTimes = BootTimes()
     private val rentedMachines = HashMap<MachineName, RentedMachine>()
     private val pending = HashMap<Kind, Int>()
     private val refusedUntil = HashMap<Kind, Moment>()
@@ -74,7 +74,7 @@
 
     /** What a former leadership term left is out of date. */
     private fun forget() {
-        listedAt = Moment.NEVER
+        listing.forget()
         rentedMachines.clear()
         retire = emptyList()
         heardAt.clear()
@@ -83,12 +83,12 @@
 
     private fun round() {
         val now = loop.now()
-        if (!listing && now >= listedAt + LIST_PACE && budget.tryTake(1, now)) list()
+        listing.refresh(now)
         val rooms = rooms()
         rooms.keys.forEach { heardAt[it] = now }
         replacementS = replacementS()
         updateLevels(now)
-        if (listedAt == Moment.NEVER) return
+        if (listing.readAt == Moment.NEVER) return
         clearOut(now)
         // A new leader's list may lack what its predecessor has just rented.
         if (leadership.leadingForS < 2 * listLagS && replica.cursor.number > FIRST_REVISIONS) return
@@ -104,30 +104,9 @@
         return rooms
     }
 
-    private fun list(from: String = "", gathered: HashMap<MachineName, ListedMachine> = HashMap()) {
-        listing = true
-        val request = Request(Method.GET, "/machines?from=$from&limit=${CloudWire.LIST_LIMIT}")
-        http.call(cloud, request, LIST_TIMEOUT) { reply ->
-            val page = reply?.takeIf { it.status == OK }?.let { CloudWire.parsePage(Json.read(it.body)) }
-            if (page == null) {
-                listing = false
-                return@call
-            }
-            page.machines.forEach { gathered[it.name] = it }
-            if (page.more && page.machines.isNotEmpty()) {
-                list(
-                    page.machines
-                        .last()
-                        .name.text,
-                    gathered,
-                )
-            } else {
-                listing = false
-                listedAt = loop.now()
-                listed = gathered
-                gathered.keys.forEach(rentedMachines::remove)
-            }
-        }
+    private fun listRead() {
+        listed.keys.forEach(rentedMachines::remove)
+        bootTimes.observe(listed)
     }
 
     /** Demand comes in bursts; the level follows it up at once and down slowly. */
@@ -167,6 +146,12 @@
         }
     }
 
+    /** Whether [machine] has been booting for so long that another had better be rented in its place. */
+    private fun isOverdue(machine: ListedMachine): Boolean {
+        val type = types[machine.type] ?: return false
+        return machine.status == MachineStatus.BOOTING && machine.ageS > bootTimes.overdueAfterS(type)
+    }
+
     /** Deleting is always safe: whatever was on the machine is gone with it, and its owner waits for the lease. */
     private fun clearOut(now: Moment) {
         deletedAt.values.removeIf { now >= it + AGAIN }
@@ -177,7 +162,7 @@
         if (dead.isEmpty() || !budget.tryTake(1, now)) return
         dead.forEach { deletedAt[it] = now }
         log.info("deleting dead machines {}", dead)
-        http.call(cloud, Request(Method.POST, "/machines/delete", CloudWire.deletion(dead)), LIST_TIMEOUT) { reply ->
+        http.call(cloud, Request(Method.POST, "/machines/delete", CloudWire.deletion(dead)), DELETE_TIMEOUT) { reply ->
             if (reply?.status != OK) dead.forEach(deletedAt::remove)
         }
     }
@@ -185,12 +170,12 @@
     private class Inventory(var ordinary: Double, var spot: Double)
 
     private fun adjust(now: Moment, rooms: Map<MachineName, MachineRoom>) {
-        rentedMachines.values.removeIf { now >= it.at + (listLagS * LAGS_TO_BE_LISTED + 1).seconds }
+        rentedMachines.values.removeIf { now >= it.at + (listLagS * LAGS_TO_BE_LISTED + 1).seconds + listing.pace }
         val counts = HashMap<Kind, Int>()
         val inventory = Inventory(0.0, 0.0)
         for (machine in listed.values) {
             val kind = Kind(machine.type, machine.zone, machine.spot)
-            if (machine.name in deletedAt || isDead(machine, now)) continue
+            if (machine.name in deletedAt || isOverdue(machine) || isDead(machine, now)) continue
             if (rooms[machine.name]?.worthKeeping == false && now.secondsSince(heardAt[machine.name] ?: now) < UNHEARD_S) continue
             count(kind, 1, counts, inventory)
         }
@@ -220,11 +205,13 @@
         val demand = BoundDemand.of(
             replica.jobs.values,
             teams,
-        ) { job -> job.assignments().firstOrNull()?.let { blockMap.zoneOf(it.block) } }
+            zoneOf = { job -> job.assignments().firstOrNull()?.let { blockMap.zoneOf(it.block) } },
+            fragmented = { isFragmented(it, rooms.values) },
+        )
         for ((binding, work) in demand) {
             val allowed = { kind: Kind -> binding.allows(kind.type, kind.zone, kind.spot) }
             val coming = listed.values
-                .filter { it.name !in rooms && it.name !in deletedAt && !isDead(it, now) }
+                .filter { it.name !in rooms && it.name !in deletedAt && !isOverdue(it) && !isDead(it, now) }
                 .map { Kind(it.type, it.zone, it.spot) } + rentedMachines.values.map { it.kind } +
                 pending.flatMap { (kind, number) -> List(number) { kind } }
             val comingCpus = coming.filter(allowed).sumOf { types[it.type]?.capacity?.cpus ?: 0.0 }
@@ -234,6 +221,14 @@
         }
     }
 
+    /** Whether a task of [job] has found no machine for a while, though there is as much room on all of them together. */
+    private fun isFragmented(job: Job, rooms: Collection<MachineRoom>): Boolean {
+        val spec = job.spec ?: return false
+        if (loop.wallMillis() < job.startableSinceMs + FRAGMENTED_AFTER_MS) return false
+        val allowed = rooms.filter { it.usable && spec.allows(it.type, it.zone, it.spot) }
+        return allowed.none { spec.request.fitsIn(it.free) } && allowed.sumOf { it.free.cpus } >= spec.request.cpus
+    }
+
     /** Rents about [cpus]; returns how many were asked for. */
     private fun rent(cpus: Double, spot: Boolean, counts: HashMap<Kind, Int>, now: Moment, allowed: (Kind) -> Boolean = { true }): Double {
         var missing = cpus
@@ -331,13 +326,13 @@
         const val LONGEST_BOOTS = 3.0
         const val BOOT_SLACK_S = 20.0
         const val UNHEARD_S = 40.0
+        const val FRAGMENTED_AFTER_MS = 20_000L
         const val UNUSABLE_IDLE_MS = 3000L
         const val LAGS_TO_BE_LISTED = 2.0
         const val FIRST_REVISIONS = 200L
         const val TRIES = 10
         val PACE = 500.milliseconds
-        val LIST_PACE = 2.seconds
-        val LIST_TIMEOUT = 5.seconds
+        val DELETE_TIMEOUT = 5.seconds
         val RENT_TIMEOUT = 3.seconds
         val RETRY = 1.seconds
         val REFUSED = 12.seconds
