Failing jobs are told from faulty machines; waiting tasks are weighed once a job

FailureEvidence weighs which job failed on which machine. A mistaken job is tried one task at a time with growing pauses, gives its other tasks back, rents nothing and stops nothing; its outcomes' record says so in an optional field that earlier versions ignore. Only a machine that fails sound jobs is taken out of use. The placer weighs a job that finds no place once a round.

--- a/src/main/kotlin/copperglade/app/OperatorProperties.kt
+++ b/src/main/kotlin/copperglade/app/OperatorProperties.kt
@@ -26,6 +26,7 @@
         "fleet.headroom",
         "fleet.idle.replacements",
         "fleet.fade.replacements",
+        "failures.machines",
     )
 
     fun read(path: Path): Tuning {
@@ -59,6 +60,7 @@
             headroom = reader.number("fleet.headroom", usual.headroom, 1.0..10.0),
             idleReplacements = reader.number("fleet.idle.replacements", usual.idleReplacements, 0.0..100.0),
             fadeReplacements = reader.number("fleet.fade.replacements", usual.fadeReplacements, 0.1..100.0),
+            machinesToBlameJob = reader.whole("failures.machines", usual.machinesToBlameJob, 1..1_000_000),
         )
     }
 
--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -60,7 +60,7 @@
     private class Candidate(val job: Job, val spec: JobSpec, val standing: List<Assignment>, val guaranteed: Boolean) {
         val acceptedAtMs = job.live!!.value.acceptedAtMs
         val deadline = job.deadline
-        val left get() = spec.tasks - job.done.cardinality()
+        val left get() = job.wantedTasks
         val urgent get() = spec.priority <= Priority.HIGH
     }
 
@@ -87,7 +87,7 @@
         val inOrder = urgent.map { it to MOST_TASKS } + fairShares + others.filter { it !in first }.map { it to MOST_TASKS }
         for ((candidate, most) in inOrder) {
             val use = uses[candidate.spec.team] ?: continue
-            assign(candidate, use, capacities, decisions, most)
+            assign(candidate, use, capacities, decisions, minOf(most, candidate.left - candidate.standing.size))
         }
         if (unhurried && now >= recalledAt + RECALL_PACE) {
             recalledAt = now
@@ -129,13 +129,12 @@
     private fun urgentlyWaits(job: Job): Boolean {
         val spec = job.spec ?: return false
         if (spec.priority > Priority.HIGH || job.cancelled || job.blocked || writer.pends(job.id)) return false
-        return job.assignments().size + job.done.cardinality() < spec.tasks
+        return job.assignments().size < job.wantedTasks
     }
 
     private fun waits(candidate: Candidate): Boolean {
         val job = candidate.job
-        return !writer.pends(job.id) && !job.cancelled && !job.complete &&
-            candidate.standing.size + job.done.cardinality() < candidate.spec.tasks
+        return !writer.pends(job.id) && !job.cancelled && !job.complete && candidate.standing.size < job.wantedTasks
     }
 
     private fun order(waiting: List<Candidate>, poolCpus: Double): List<Candidate> {
@@ -192,8 +191,8 @@
             use.used += spec.request * (standing.size + writer.pendingTasks(job.id))
             var guaranteed = false
             if (!job.complete && !job.cancelled) {
-                use.claimed += spec.request * (spec.tasks - job.done.cardinality())
-                guaranteed = use.team.guarantees(use.claimed.cpus, use.claimed.gpus)
+                use.claimed += spec.request * job.wantedTasks
+                guaranteed = !job.mistaken && use.team.guarantees(use.claimed.cpus, use.claimed.gpus)
             }
             candidates += Candidate(job, spec, standing, guaranteed)
         }
@@ -309,7 +308,7 @@
         for (room in capacities.all) {
             if (room.kept) continue
             val fits = spec.request.fitsIn(room.free)
-            val preempts = room.holdsYielding(spec)
+            val preempts = !candidate.job.mistaken && room.holdsYielding(spec)
             if (!fits && !preempts) continue
             val machine = room.machine
             if (!spec.allows(machine.type, machine.zone, machine.spot) || !zones.allows(machine.zone)) continue
--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -41,13 +41,16 @@
     private val stopper = RunStopper(state, lifecycle, commands)
     private val backoff = RetryBackoff()
     private val reconciler = RunReconciler(state, cancelledWork, stopper, backoff)
-    private val observer = TaskObserver(state, cancelledWork, lifecycle, stopper, commands, backoff)
+    private val observer = TaskObserver(state, cancelledWork, lifecycle, stopper, commands, outcomes, backoff)
     private val tracker = MachineTracker(state, lifecycle, commands, observer, unresolved)
     private val intake = ReportIntake(state, cancelledWork, tracker, commands)
-    private val placement = BlockPlacement(state, health, lifecycle, stopper, commands)
+    private val placement = BlockPlacement(state, health, lifecycle, stopper, commands, backoff)
     private val stragglers = StragglerRestarts(state, outcomes, stopper)
     private var nextSweep = Moment.NEVER
 
+    /** Jobs that fail wherever they run. */
+    val mistakenJobs: MistakenJobs get() = context.mistakenJobs
+
     /** The block's machines, as far as their workers have been heard. */
     val machines: Map<MachineName, Machine> get() = state.machines
 
--- a/src/main/kotlin/copperglade/coordination/BlockPlacement.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockPlacement.kt
@@ -14,7 +14,9 @@
     private val lifecycle: RunLifecycle,
     private val stopper: RunStopper,
     private val commands: WorkerCommands,
+    private val backoff: RetryBackoff,
 ) {
+    private val mistakenJobs = state.context.mistakenJobs
     private val placedOn = LinkedHashSet<Machine>()
     private val placer = Placer(
         state.context.types,
@@ -22,12 +24,15 @@
         start = ::start,
         stop = { stopper.stop(it, StopReason.PREEMPTED) },
         giveBack = { lifecycle.finish(it, RunState.GONE, "no room") },
+        mayPreempt = { it.task.job !in mistakenJobs },
+        separated = ::isSeparated,
     )
 
     /** Starts what waits and fits. Runs that find no room for too long are given back to the leader. */
     fun place(now: Moment) {
         if (!state.context.membership.mayStart) return
-        val waiting = state.runs.waiting.filter { now >= it.notBefore }
+        giveBackAllButOneTrial()
+        val waiting = state.runs.waiting.filter { mayStart(it, now) }
         if (waiting.isEmpty()) return
         placer.place(waiting, state.machines.values.filter { health.isUsable(it, now) }, now)
         // All that a machine is to start goes in one message.
@@ -35,6 +40,29 @@
         placedOn.clear()
     }
 
+    private fun mayStart(run: Run, now: Moment): Boolean {
+        val job = run.task.job
+        if (now < run.notBefore) return false
+        return job !in mistakenJobs || (backoff.mayTry(job, now) && state.runs.of(job).none { it.onMachine })
+    }
+
+    /** Of a mistaken job one task waits here to be tried; the others would only hold room and their team's limit. */
+    private fun giveBackAllButOneTrial() {
+        val mistaken = state.runs.waiting.filter { it.task.job in mistakenJobs }
+        for ((job, runs) in mistaken.groupBy { it.task.job }) {
+            val trialRuns = state.runs.of(job).any { it.onMachine }
+            runs.drop(if (trialRuns) 0 else 1).forEach { lifecycle.finish(it, RunState.GONE, "its job fails everywhere") }
+        }
+    }
+
+    /** A job that has completed tasks is kept from no machine: each of its failing tasks looks for another by itself. */
+    private fun isSeparated(run: Run, machine: Machine): Boolean {
+        val neverCompleted = state.context.replica.jobs[run.task.job]
+            ?.done
+            ?.isEmpty ?: false
+        return neverCompleted && state.context.evidence.separates(run.task.job, machine.name, state.context.loop.now())
+    }
+
     private fun start(run: Run, machine: Machine) {
         run.bind(machine, state.nextAttempt())
         run.moveTo(RunState.STARTING, "placed", state.context.loop.now())
--- a/src/main/kotlin/copperglade/coordination/BlockSummary.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockSummary.kt
@@ -22,7 +22,9 @@
      */
     fun room(): BlockRoom {
         val now = context.loop.now()
-        val waiting = state.runs.waiting.mapTo(ArrayList()) { it.spec.request }
+        val waiting = state.runs.waiting
+            .filter { now >= it.notBefore && it.task.job !in context.mistakenJobs }
+            .mapTo(ArrayList()) { it.spec.request }
         val rooms = state.machines.values.filter(state::isFenced).mapNotNull { machine ->
             context.types[machine.typeName]?.let { roomOf(machine, it, waiting, now) }
         }
--- a/src/main/kotlin/copperglade/coordination/DemandEstimate.kt
+++ b/src/main/kotlin/copperglade/coordination/DemandEstimate.kt
@@ -33,7 +33,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** CPUs wanted now: by work that needs ordinary machines, and by work that may use spot machines as well. */
-class Demand(val ordinary: Double, val flexible: Double)
+class Demand(val ordinary: Double, val flexible: Double) {
+    val cpus get() = ordinary + flexible
+}
 
 /** How many CPUs the unfinished jobs could use now, within their teams' limits. */
 object DemandEstimate {
@@ -43,16 +45,23 @@
         val used = HashMap<TeamName, Double>()
         var ordinary = 0.0
         var flexible = 0.0
+        var largestTrial = Demand(0.0, 0.0)
         for (job in jobs.filter { it.live != null }.sortedBy { it.live!!.value.acceptedAtMs }) {
             val spec = job.spec ?: continue
             if (job.cancelled || job.complete || job.blocked) continue
+            if (job.mistaken) {
+                val trial = if (spec.spotAllowed) Demand(0.0, spec.request.cpus) else Demand(spec.request.cpus, 0.0)
+                if (trial.cpus > largestTrial.cpus) largestTrial = trial
+                continue
+            }
             val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
             val before = used[spec.team] ?: 0.0
-            val cpus = min((spec.tasks - job.done.cardinality()) * spec.request.cpus * atOnce(job, spec), max(0.0, limit - before))
+            val cpus = min(job.wantedTasks * spec.request.cpus * atOnce(job, spec), max(0.0, limit - before))
             used[spec.team] = before + cpus
             if (spec.spotAllowed) flexible += cpus else ordinary += cpus
         }
-        return Demand(ordinary, flexible)
+        // A mistaken job is tried on what is there for others; only where nothing else is wanted it gets a machine of its own.
+        return Demand(ordinary, flexible).takeIf { it.cpus > 0.0 } ?: largestTrial
     }
 
     /** CPUs of tasks that could start at once, were there room: not yet assigned, and within their teams' limits. */
@@ -63,8 +72,8 @@
             val spec = job.spec ?: continue
             val standing = job.assignments().size
             used.merge(spec.team, standing * spec.request.cpus, Double::plus)
-            if (job.cancelled || job.complete || job.blocked) continue
-            waiting.merge(spec.team, (spec.tasks - job.done.cardinality() - standing) * spec.request.cpus, Double::plus)
+            if (job.cancelled || job.complete || job.blocked || job.mistaken) continue
+            waiting.merge(spec.team, (job.wantedTasks - standing).coerceAtLeast(0) * spec.request.cpus, Double::plus)
         }
         return waiting.entries.sumOf { (team, cpus) ->
             val limit = teams[team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
--- a/src/main/kotlin/copperglade/coordination/Machine.kt
+++ b/src/main/kotlin/copperglade/coordination/Machine.kt
@@ -5,7 +5,6 @@
 import copperglade.protocol.FencingToken
 import copperglade.protocol.Image
 import copperglade.protocol.ImageName
-import copperglade.protocol.JobId
 import copperglade.protocol.MachineName
 import copperglade.protocol.MachineType
 import copperglade.protocol.Moment
@@ -96,12 +95,9 @@
     val unresponsive: Boolean get() = unresponsiveSince != null
     var draining = false
     var deleting = false
-    val failedJobs = HashSet<JobId>()
-    var suspectUntil = Moment.NEVER
     private val images = LinkedHashMap<ImageName, Double>()
 
     val cachedImages: List<ImageName> get() = images.keys.toList()
-    val faulty: Boolean get() = failedJobs.size >= FAULTY_JOBS
 
     /**
      * Whether a report is no newer than one that the worker has sent already. It sends one at a time, so it waits for
@@ -229,7 +225,6 @@
     }
 
     companion object {
-        private const val FAULTY_JOBS = 2
         private val FREE_KEPT = 500.milliseconds
     }
 }
--- a/src/main/kotlin/copperglade/coordination/MachineHealth.kt
+++ b/src/main/kotlin/copperglade/coordination/MachineHealth.kt
@@ -29,7 +29,7 @@
     }
 
     private fun isSound(machine: Machine, now: Moment): Boolean = state.isFenced(machine) && !machine.draining &&
-        !machine.deleting && !machine.noticed && !machine.faulty && now >= machine.suspectUntil && !isSilent(machine, now)
+        !machine.deleting && !machine.noticed && !context.evidence.blamesMachine(machine.name) && !isSilent(machine, now)
 
     private fun isSilent(machine: Machine, now: Moment): Boolean = now >= machine.heardAt + context.silenceLimit
 
--- a/src/main/kotlin/copperglade/coordination/MachineTracker.kt
+++ b/src/main/kotlin/copperglade/coordination/MachineTracker.kt
@@ -109,6 +109,7 @@
     private fun drop(machine: Machine) {
         machines.remove(machine.name)
         context.profiles.forgetMachine(machine.name)
+        context.evidence.forgetMachine(machine.name)
         removedMachines.expired(machine.name, machine.session)
         loseAll(machine, "${machine.name} is gone")
     }
--- a/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
+++ b/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
@@ -55,6 +55,11 @@
         if (run.state == RunState.GONE) hasty += place
     }
 
+    /** The job of [run] was found to fail everywhere: the leader should know, though nothing has become of the task. */
+    fun recordMistake(run: Run) {
+        if (replica.jobs[run.task.job]?.mistaken == false) record(run)
+    }
+
     fun flush() {
         if (dirtySince.isEmpty() || !owner.open) return
         val now = loop.now()
@@ -139,8 +144,9 @@
                 restarted.set(index)
             }
         }
-        if (!changed) return null
-        return WorkRecord(done, stillNeeded(returned, job.pages[page]?.value), restarted, present.version + 1)
+        val mistaken = done.isEmpty && (present.mistaken || job.id in owner.mistakenJobs)
+        if (!changed && mistaken == present.mistaken) return null
+        return WorkRecord(done, stillNeeded(returned, job.pages[page]?.value), restarted, present.version + 1, mistaken)
     }
 
     /** Give-backs matter only as long as the leader's page still names the assignment. */
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -111,6 +111,7 @@
         if (touched.standing) reconcile()
         for (id in touched.jobs) {
             val job = replica.jobs[id]
+            if (job?.live == null) context.evidence.forgetJob(id)
             for (block in owned.values) if (job == null) block.drop(id) else block.sync(job)
         }
     }
--- a/src/main/kotlin/copperglade/coordination/OwnerContext.kt
+++ b/src/main/kotlin/copperglade/coordination/OwnerContext.kt
@@ -21,6 +21,10 @@
     val workload: Workload,
     val absentOwners: AbsentOwners,
 ) {
+    /** One for all blocks of the process: the more machines are seen, the sooner a mistaken job is known. */
+    val evidence = FailureEvidence(tuning.machinesToBlameJob)
+    val mistakenJobs = MistakenJobs(replica, evidence)
+
     /** After so long without an answer a worker's lease has run out for certain, whatever its clock's drift. */
     val longestLease: Duration get() = (leaseS * (1 + SessionLease.DRIFT) + LEASE_MARGIN_S).seconds
 
--- a/src/main/kotlin/copperglade/coordination/Placer.kt
+++ b/src/main/kotlin/copperglade/coordination/Placer.kt
@@ -16,6 +16,10 @@
     private val start: (Run, Machine) -> Unit,
     private val stop: (Run) -> Unit,
     private val giveBack: (Run) -> Unit,
+    /** Whether lower work may be stopped for a run. */
+    private val mayPreempt: (Run) -> Boolean,
+    /** Whether the run's job has just failed on the machine. */
+    private val separated: (Run, Machine) -> Boolean,
 ) {
     private class Candidate(val machine: Machine, val type: MachineType, var free: Resources)
 
@@ -24,19 +28,28 @@
             types[machine.typeName]?.let { Candidate(machine, it, machine.free(it, now, requestOf)) }
         }
         val hopeless = HashSet<JobId>()
+        val keptFor = HashSet<JobId>()
         for (run in waiting.sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMs }, { it.task.index }))) {
-            val chosen = if (run.task.job in hopeless) null else choose(run, rooms)
+            // Nothing makes room in a round, so what holds for one task of a job holds for the next. Weighing every machine again for
+            // hundreds of tasks that wait took half of a controller's processor on a recorded day.
+            if (run.task.job in hopeless) {
+                if (now >= run.since + PATIENCE) giveBack(run)
+                continue
+            }
+            val chosen = choose(run, rooms)
             if (chosen != null) {
                 chosen.free -= run.spec.request
                 run.target = null
                 start(run, chosen.machine)
                 continue
             }
-            if (preemptFor(run, rooms)) continue
+            if (mayPreempt(run) && preemptFor(run, rooms)) continue
             // Room gathers for it on one machine, or smaller tasks would take every piece that comes free.
-            if (hopeless.add(run.task.job)) {
+            if (keptFor.add(run.task.job)) {
                 rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
             }
+            // Others may be kept from fewer machines than a task that has failed somewhere.
+            if (run.avoid.isEmpty()) hopeless += run.task.job
             if (now >= run.since + PATIENCE) giveBack(run)
         }
     }
@@ -47,7 +60,7 @@
     private fun choose(run: Run, rooms: List<Candidate>): Candidate? = rooms
         .filter {
             run.spec.request.fitsIn(it.free) && allowed(run.spec, it.machine) && it.machine.name !in run.avoid &&
-                it.machine.reportedTasks.none { reportedTask -> reportedTask.task == run.task }
+                !separated(run, it.machine) && it.machine.reportedTasks.none { reportedTask -> reportedTask.task == run.task }
         }.minWithOrNull(
             compareBy<Candidate> { if (it.machine.name == run.target) 0 else 1 }
                 .thenBy { cost(run.spec, it, preempts = false) }
--- a/src/main/kotlin/copperglade/coordination/RetryBackoff.kt
+++ b/src/main/kotlin/copperglade/coordination/RetryBackoff.kt
@@ -1,26 +1,44 @@
 package copperglade.coordination
 
 import copperglade.protocol.JobId
+import copperglade.protocol.Moment
 import kotlin.math.min
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * How long a task waits before it is started again: twice as long after each failure of its job, up to a limit. Guards
- * against a job whose tasks fail at once and would keep machines and workers busy with nothing but starts.
+ * How long a task waits before it is started again: twice as long after each of its failures, up to a limit. Of a mistaken job
+ * ([MistakenJobs]) all failures count together, since its tasks are tried in turn.
+ *
+ * Guards against tasks that fail at once and would keep machines and workers busy with nothing but starts.
  */
 class RetryBackoff {
-    private val failures = HashMap<JobId, Int>()
+    private class Trials {
+        var failures = 0
+        var nextAt = Moment.NEVER
+    }
+
+    private val trialsByJob = HashMap<JobId, Trials>()
 
-    /** Counts a failure of one of [job]'s tasks; the pause before that task's next start. */
-    fun afterFailure(job: JobId): Duration = pause(failures.merge(job, 1, Int::plus) ?: 1)
+    /** The pause before the next start of a task that has failed [failures] times. */
+    fun afterFailure(failures: Int): Duration = pause(failures)
 
-    /** The pause after a machine has refused a start: that says nothing of the job, so it isn't counted. */
+    /** The pause after a machine has refused a start: that says nothing of the task. */
     fun afterRefusal(): Duration = pause(1)
 
+    /** A task of the mistaken job [job] has failed once more. */
+    fun trialFailed(job: JobId, now: Moment) {
+        val trials = trialsByJob.getOrPut(job) { Trials() }
+        trials.failures++
+        trials.nextAt = now + pause(trials.failures)
+    }
+
+    /** Whether a task of the mistaken job [job] may be tried again. */
+    fun mayTry(job: JobId, now: Moment): Boolean = trialsByJob[job]?.let { now >= it.nextAt } ?: true
+
     /** The job is over or no longer here. */
     fun forget(job: JobId) {
-        failures.remove(job)
+        trialsByJob.remove(job)
     }
 
     private fun pause(times: Int): Duration = min(FIRST_S * (1 shl min(times, MOST_DOUBLINGS)), LONGEST_S).seconds
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -66,6 +66,9 @@
     var notBefore = Moment.NEVER
     val avoid = HashSet<MachineName>()
 
+    /** How often the task has failed here. */
+    var failures = 0
+
     /** Where a straggler is to run again. */
     var target: MachineName? = null
     var restarted = false
--- a/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
+++ b/src/main/kotlin/copperglade/coordination/StragglerWatch.kt
@@ -27,7 +27,7 @@
         for (machine in machines) {
             val type = context.types[machine.typeName] ?: continue
             val silent = now >= machine.heardAt + (context.reportS * 2).seconds
-            if (machine.draining || machine.deleting || machine.noticed || machine.faulty || silent) continue
+            if (machine.draining || machine.deleting || machine.noticed || context.evidence.blamesMachine(machine.name) || silent) continue
             free[machine.name] = machine.free(type, now, requestOf)
         }
         if (free.values.none { it.cpus > 0.0 }) return emptyList()
--- a/src/main/kotlin/copperglade/coordination/TaskObserver.kt
+++ b/src/main/kotlin/copperglade/coordination/TaskObserver.kt
@@ -8,7 +8,6 @@
 import copperglade.protocol.ReportedTaskState
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Follows from reports what becomes of the tasks on a machine.
@@ -22,6 +21,7 @@
     private val lifecycle: RunLifecycle,
     private val stopper: RunStopper,
     private val commands: WorkerCommands,
+    private val outcomes: OutcomeLog,
     private val backoff: RetryBackoff,
 ) {
     private val context = state.context
@@ -66,24 +66,34 @@
         when (cause) {
             ExitCause.DONE -> {
                 recordProfile(run, machine)
-                machine.failedJobs.clear()
+                context.evidence.completed(run.task.job, machine.name)
                 lifecycle.finish(run, RunState.DONE, "completed")
             }
-            ExitCause.ERROR -> {
-                log.warn("{} failed on {}", run.task, machine.name)
-                machine.failedJobs += run.task.job
-                machine.suspectUntil = loop.now() + SUSPICION
-                failed(run, machine, backoff.afterFailure(run.task.job))
-            }
+            ExitCause.ERROR -> failed(run, machine)
             ExitCause.STOPPED -> lifecycle.lost(run, "stopped")
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN_JOB, ExitCause.OTHER -> {
                 log.info("{} refused by {}: {}", run.task, machine.name, cause)
-                failed(run, machine, backoff.afterRefusal())
+                tryElsewhere(run, machine, backoff.afterRefusal())
             }
         }
     }
 
-    private fun failed(run: Run, machine: Machine, pause: Duration) {
+    private fun failed(run: Run, machine: Machine) {
+        log.info("{} failed on {}", run.task, machine.name)
+        val job = run.task.job
+        run.failures++
+        // What another owner has found out about the job holds for this one's machines, too.
+        if (context.replica.jobs[job]?.mistaken != true) context.evidence.failed(job, machine.name, loop.now())
+        if (job in context.mistakenJobs) {
+            backoff.trialFailed(job, loop.now())
+            outcomes.recordMistake(run)
+        }
+        tryElsewhere(run, machine, backoff.afterFailure(run.failures))
+    }
+
+    /** Lets [run] start again after [pause], on another machine; once half of the block has been tried, anywhere. */
+    private fun tryElsewhere(run: Run, machine: Machine, pause: Duration) {
+        if (run.avoid.size * 2 >= state.machines.size) run.avoid.clear()
         run.avoid += machine.name
         run.notBefore = loop.now() + pause
         lifecycle.lost(run, "failed")
@@ -115,9 +125,6 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
-
-        /** Nothing is placed for so long on a machine where a task has failed. */
-        val SUSPICION = 10.seconds
         val log = LoggerFactory.getLogger("owner")
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Tuning.kt
+++ b/src/main/kotlin/copperglade/coordination/Tuning.kt
@@ -21,6 +21,7 @@
     val headroom: Double = 1.15,
     val idleReplacements: Double = 0.6,
     val fadeReplacements: Double = 2.0,
+    val machinesToBlameJob: Int = 2,
 ) {
     companion object {
         val USUAL_STALENESS_MARGIN = 2.seconds
--- a/src/main/kotlin/copperglade/storage/Job.kt
+++ b/src/main/kotlin/copperglade/storage/Job.kt
@@ -61,6 +61,13 @@
 
     /** Since when it could have been started, in wall-clock milliseconds: its acceptance, or the end of its last dependency. */
     val startableSinceMs: Long get() = releasedAtMs ?: live?.value?.acceptedAtMs ?: 0
+
+    /** Whether it fails wherever it runs, by what owners have recorded; a completed task has disproved that. */
+    val mistaken: Boolean get() = recordedAsMistaken && done.isEmpty
+    private var recordedAsMistaken = false
+
+    /** How many of its tasks should be on machines now: all that are not done, or one on trial where it is [mistaken]. */
+    val wantedTasks: Int get() = spec?.let { if (mistaken) MISTAKEN_TRIALS else it.tasks - done.cardinality() } ?: 0
     val empty: Boolean get() = live == null && pages.isEmpty() && works.isEmpty()
     val complete: Boolean get() = spec?.let { it.tasks == done.cardinality() } ?: false
 
@@ -95,6 +102,7 @@
         standing = null
         if (record == null) workRecords.remove(place) else workRecords[place] = record
         record?.let { done.or(it.value.done) }
+        recordedAsMistaken = workRecords.values.any { it.value.mistaken }
     }
 
     /**
@@ -140,4 +148,8 @@
     fun markedAfter(stamp: Stamp): Boolean = live?.let { it.value.cancelled && it.stamp > stamp } ?: false
 
     fun liveStamp(): Stamp = live?.stamp ?: Stamp.ABSENT
+
+    private companion object {
+        const val MISTAKEN_TRIALS = 1
+    }
 }
--- a/src/main/kotlin/copperglade/storage/RecordCodec.kt
+++ b/src/main/kotlin/copperglade/storage/RecordCodec.kt
@@ -84,6 +84,8 @@
                 obj("b") { record.returned.forEach { (generation, tasks) -> ranges(generation.toString(), tasks) } }
             }
             ranges("x", record.restarted)
+            // Left out where false: earlier versions write and read records without it.
+            if (record.mistaken) writeBooleanField("m", true)
             version(record)
         }
     }
@@ -94,7 +96,7 @@
             returned[generation.toInt()] =
                 Ranges.parse(tasks.asText())
         }
-        return WorkRecord(node.ranges("d"), returned, node.ranges("x"), versionOf(node))
+        return WorkRecord(node.ranges("d"), returned, node.ranges("x"), versionOf(node), node.flag("m") ?: false)
     }
 
     /** A packed record: its parts under the pages' names, as they were encoded. */
--- a/src/main/kotlin/copperglade/storage/Records.kt
+++ b/src/main/kotlin/copperglade/storage/Records.kt
@@ -74,12 +74,14 @@
  * What became of a page's tasks in one block; written by the block's owner alone.
  *
  * @property returned by generation, the tasks that are surely on no machine of the block any more.
+ * @property mistaken whether the block's owner has found that the job fails on whichever machine it runs.
  */
 class WorkRecord(
     val done: BitSet,
     val returned: Map<Int, BitSet>,
     val restarted: BitSet,
     override val version: Int,
+    val mistaken: Boolean = false,
 ) : Versioned {
     companion object {
         val EMPTY = WorkRecord(BitSet(), emptyMap(), BitSet(), 0)
--- /dev/null
+++ b/src/test/kotlin/copperglade/coordination/FailureEvidenceTest.kt
@@ -0,0 +1,77 @@
+package copperglade.coordination
+
+import copperglade.protocol.JobId
+import copperglade.protocol.MachineName
+import copperglade.protocol.Moment
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class FailureEvidenceTest {
+    private val evidence = FailureEvidence(machinesToBlameJob = 2)
+    private val now = Moment(100_000)
+
+    private fun job(number: Int) = JobId("job-$number")
+
+    private fun machine(number: Int) = MachineName("i-$number")
+
+    private fun fail(job: Int, machine: Int) = evidence.failed(job(job), machine(machine), now)
+
+    @Test
+    fun `one failure only keeps the job from the machine for a while`() {
+        fail(1, 1)
+        assertFalse(evidence.blamesJob(job(1)))
+        assertFalse(evidence.blamesMachine(machine(1)))
+        assertTrue(evidence.separates(job(1), machine(1), now))
+        assertFalse(evidence.separates(job(2), machine(1), now))
+        assertFalse(evidence.separates(job(1), machine(1), Moment(now.ms + 11_000)))
+    }
+
+    @Test
+    fun `a job that fails on several machines is blamed, and they are not`() {
+        fail(1, 1)
+        fail(1, 2)
+        assertTrue(evidence.blamesJob(job(1)))
+        fail(3, 1)
+        assertFalse(evidence.blamesMachine(machine(1)))
+        assertFalse(evidence.blamesMachine(machine(2)))
+    }
+
+    @Test
+    fun `several mistaken jobs on one machine don't make it faulty`() {
+        (1..3).forEach { job -> (1..3).forEach { fail(job, it) } }
+        (1..3).forEach { assertTrue(evidence.blamesJob(job(it))) }
+        (1..3).forEach { assertFalse(evidence.blamesMachine(machine(it))) }
+    }
+
+    @Test
+    fun `a machine on which several jobs fail is blamed, and a job that was on two such machines is not`() {
+        fail(1, 1)
+        fail(2, 1)
+        fail(1, 2)
+        fail(3, 2)
+        assertTrue(evidence.blamesMachine(machine(1)))
+        assertTrue(evidence.blamesMachine(machine(2)))
+        assertFalse(evidence.blamesJob(job(1)))
+    }
+
+    @Test
+    fun `a completed task clears its job and its machine, and speaks against other jobs that failed there`() {
+        fail(1, 1)
+        fail(2, 1)
+        fail(2, 2)
+        evidence.completed(job(3), machine(1))
+        assertFalse(evidence.blamesMachine(machine(1)))
+        assertTrue(evidence.blamesJob(job(2)))
+        evidence.completed(job(2), machine(3))
+        assertFalse(evidence.blamesJob(job(2)))
+    }
+
+    @Test
+    fun `what a job that is over left open is not held against its machines`() {
+        fail(1, 1)
+        fail(2, 1)
+        evidence.forgetJob(job(1))
+        assertFalse(evidence.blamesMachine(machine(1)))
+    }
+}
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -334,8 +334,19 @@
 
     override fun workS(task: TaskId) = users[task.job]?.work?.invoke(task.index)
 
+    /** Whether a task fails on a machine, some time after it has begun to run there. */
+    var fails: (task: TaskId, machine: String) -> Boolean = { _, _ -> false }
+
+    /** How often a task of the job has begun to run, and how often any task has on the machine. */
+    val startsOf = HashMap<JobId, Int>()
+    val startsOn = HashMap<String, Int>()
+
+    override fun failsAfterS(worker: StandInWorker, task: TaskId): Double? = FAILS_AFTER_S.takeIf { fails(task, worker.name) }
+
     override fun started(worker: StandInWorker, task: TaskId) {
         starts++
+        startsOf.merge(task.job, 1, Int::plus)
+        startsOn.merge(worker.name, 1, Int::plus)
         val before = onMachine[task]
         if (before != null && before !== worker) breach("ran_twice", "$task on ${worker.name} and ${before.name}")
         onMachine[task] = worker
@@ -616,6 +627,7 @@
         const val BEGUN_S = 240.0
         const val LARGEST_OF = 5
         const val CHECKPOINT_S = 20.0
+        const val FAILS_AFTER_S = 1.0
 
         /** Who neither reads the state service nor hears the others stops starting tasks this soon, and a little for the clocks. */
         const val START_KNOWN_S = 3.2
