About 4,000 machines: bounds follow from the fleet, the heap or time

A controller's status of more than some 450 machines was over the 64 KiB that our server takes, so the leader refused it with 400 and placed nothing there: peers' messages have a limit of their own now. Removed machines are remembered for an hour instead of the last 2,000. Where a server's connections are all taken, the one that has been idle for longest gives way, so that more workers than connections take turns. Remembered ends of jobs follow from the heap, questions that wait for one reading from the live jobs.

Tests: a status of 4,000 machines over real sockets (400 with the former limit), more callers than connections, 20,000 removals at once, and in simulated time nearly 4,000 machines from nothing, the leader's end, half of them lost with late copies of their reports; the stand-in cloud refuses what is over its rate.

--- a/src/main/kotlin/copperglade/app/Main.kt
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -57,9 +57,9 @@
             val always = settings.peers.mapTo(hashSetOf(settings.state, settings.cloud)) { it.endpoint }
             val caller = NettyHttpCaller(loop.group, settings.socketLimit * WORKERS_PERCENT / 100, always)
             val controller = Controller(loop, caller, settings, tuning)
-            NettyHttpServer(loop.group, settings.socketLimit * USERS_PERCENT / 100, controller.clientHandler)
+            NettyHttpServer(loop.group, settings.socketLimit * USERS_PERCENT / 100, handler = controller.clientHandler)
                 .listen(settings.clientListen)
-            NettyHttpServer(loop.group, settings.socketLimit * PEERS_PERCENT / 100, controller.clusterHandler)
+            NettyHttpServer(loop.group, settings.socketLimit * PEERS_PERCENT / 100, LONGEST_PEER_MESSAGE, controller.clusterHandler)
                 .listen(settings.clusterListen)
             loop.after(Duration.ZERO) { controller.start() }
         }
@@ -70,6 +70,12 @@
          * workers on both sides.
          */
         private const val USERS_PERCENT = 52
+
+        /**
+         * A controller's status tells of each of its machines in some 150 bytes. With the 64 KiB of the protocol with users and
+         * workers, the leader would refuse it from some 450 machines a controller on, and nothing more would be placed there.
+         */
+        const val LONGEST_PEER_MESSAGE = 16 * 1024 * 1024
         private const val PEERS_PERCENT = 4
         private const val WORKERS_PERCENT = 34
     }
--- a/src/main/kotlin/copperglade/app/Rehearsal.kt
+++ b/src/main/kotlin/copperglade/app/Rehearsal.kt
@@ -37,12 +37,7 @@
         NettyHttpServer(
             loop.group,
             SOCKETS,
-            RequestHandler {
-                request,
-                responder,
-                ->
-                canned(loop, request, responder)
-            },
+            handler = RequestHandler { request, responder -> canned(loop, request, responder) },
         ).listen(outside)
         Main.run(settings(ports), Tuning())
         val client = Endpoint("127.0.0.1", ports[1])
--- a/src/main/kotlin/copperglade/coordination/MachineTracker.kt
+++ b/src/main/kotlin/copperglade/coordination/MachineTracker.kt
@@ -22,7 +22,7 @@
     private val context = state.context
     private val loop = context.loop
     private val machines = state.machines
-    private val removedMachines = RemovedMachines()
+    private val removedMachines = RemovedMachines(loop)
 
     /** Dropped machines that have just been asked whether they live. */
     private val probed = HashSet<MachineName>()
--- a/src/main/kotlin/copperglade/coordination/RemovedMachines.kt
+++ b/src/main/kotlin/copperglade/coordination/RemovedMachines.kt
@@ -1,42 +1,58 @@
 package copperglade.coordination
 
 import copperglade.protocol.MachineName
+import copperglade.protocol.Moment
 import copperglade.protocol.Report
+import copperglade.transport.Clock
+import kotlin.time.Duration.Companion.hours
 
 /**
  * Machines that were removed, so that late copies of their reports bring none of them back. Reports may arrive minutes
  * after they were sent; one of a machine that is gone would otherwise look like a machine with room.
+ *
+ * Each is remembered for [RETENTION], however many there are: a bound on their number would forget the first of them while late
+ * copies still come, just when a large part of the fleet is lost at once.
  */
-class RemovedMachines {
-    /** The highest session that a report may be of and still be old. */
-    private val sessions = object : LinkedHashMap<MachineName, Long>() {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<MachineName, Long>?) = size > MOST
-    }
+class RemovedMachines(private val clock: Clock) {
+    private class Removal(val session: Long, val at: Moment)
+
+    /** The highest session that a report may be of and still be old; the oldest removal first. */
+    private val removals = LinkedHashMap<MachineName, Removal>()
+
+    val size: Int get() = removals.size
 
     /** Its lease has surely run out: if it lives, it is in a later session. */
     fun expired(machine: MachineName, session: Long) {
-        sessions.remove(machine)
-        sessions[machine] = session
+        removals.remove(machine)
+        removals[machine] = Removal(session, clock.now())
+        forgetOldest()
+    }
+
+    private fun forgetOldest() {
+        val now = clock.now()
+        val oldest = removals.values.iterator()
+        while (oldest.hasNext() && now >= oldest.next().at + RETENTION) oldest.remove()
     }
 
     /** Deleted; names are never given again. */
     fun deleted(machine: MachineName) = expired(machine, Long.MAX_VALUE)
 
-    fun knows(machine: MachineName): Boolean = machine in sessions
+    fun knows(machine: MachineName): Boolean = machine in removals
 
-    fun sessionOf(machine: MachineName): Long = sessions[machine] ?: 0L
+    fun sessionOf(machine: MachineName): Long = removals[machine]?.session ?: 0L
 
     /** Whether [report] is from before the removal, or of a machine that counts from the start again. */
-    fun covers(report: Report): Boolean = sessions[report.machine]?.let { report.session <= it } ?: false
+    fun covers(report: Report): Boolean = removals[report.machine]?.let { report.session <= it.session } ?: false
 
     /** Whether nothing can ever be heard of the machine again. */
-    fun forGood(machine: MachineName): Boolean = sessions[machine] == Long.MAX_VALUE
+    fun forGood(machine: MachineName): Boolean = removals[machine]?.session == Long.MAX_VALUE
 
     fun isBack(machine: MachineName) {
-        sessions.remove(machine)
+        removals.remove(machine)
     }
 
     private companion object {
-        const val MOST = 2000
+        /** Far longer than any message was ever held up. */
+        val RETENTION = 1.hours
     }
 }
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -48,6 +48,8 @@
     readers: Int = 1,
     /** How old what is known may become before something is asked, though nobody has asked for it. */
     private val quiet: Duration = QUIET,
+    /** The ends of so many jobs are remembered; beyond them, the state service is asked. */
+    private val mostEnded: Int = endsThatFitInto(Runtime.getRuntime().maxMemory()),
     /** How long a job's tasks are predicted to run, in seconds. */
     predictRunS: (JobSpec) -> Double = { it.estimateS },
 ) {
@@ -60,7 +62,7 @@
     var leader: Stamped<LeaderRecord>? = null
         private set
     private val over = object : LinkedHashMap<JobId, EndRecord>(64, 0.75f, true) {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<JobId, EndRecord>?) = size > MOST_ENDED
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<JobId, EndRecord>?) = size > mostEnded
     }
 
     /** Which of [jobs] wait for others, and what follows from that. */
@@ -199,7 +201,7 @@
 
     /** Calls back once every change made before this call is known; with false where that can't be had now. */
     fun fresh(done: (Boolean) -> Unit) {
-        if (state != ReplicaState.CURRENT || waiting.size >= MOST_WAITING) {
+        if (state != ReplicaState.CURRENT || waiting.size >= maxOf(MOST_WAITING, jobs.size * QUESTIONS_A_JOB)) {
             done(false)
             return
         }
@@ -448,13 +450,23 @@
             }
             announce(touched)
             val next = if (listing == null) from else listing.entries.lastOrNull()?.key
-            if ((listing == null || listing.more) && over.size < MOST_ENDED) loop.after(ENDS_PACE) { loadEnds(next) }
+            if ((listing == null || listing.more) && over.size < mostEnded) loop.after(ENDS_PACE) { loadEnds(next) }
         }
     }
 
     companion object {
-        private const val MOST_ENDED = 10_000
+        /** About what a remembered end takes, with its id and its place among the others. */
+        private const val BYTES_AN_END = 200
+        private const val ENDS_PART_OF_HEAP = 16
+        private const val FEWEST_ENDED = 10_000
+
+        /** A sixteenth of the heap: 36,700 ends in 112 MB. */
+        fun endsThatFitInto(heapBytes: Long): Int =
+            (heapBytes / ENDS_PART_OF_HEAP / BYTES_AN_END).coerceIn(FEWEST_ENDED.toLong(), Int.MAX_VALUE.toLong()).toInt()
+
+        /** So many questions may wait for a reading, or two for each live job where that is more. */
         private const val MOST_WAITING = 2_000
+        private const val QUESTIONS_A_JOB = 2
         private const val MOST_ENDS_ASKED = 500
         private const val MOST_ASKERS = 8
         private val ENDS_PACE = 1.seconds
--- /dev/null
+++ b/src/main/kotlin/copperglade/transport/HttpStatus.kt
@@ -0,0 +1,16 @@
+package copperglade.transport
+
+/** The HTTP statuses that are given or understood here. */
+object HttpStatus {
+    const val OK = 200
+    const val CREATED = 201
+    const val BAD_REQUEST = 400
+    const val NOT_FOUND = 404
+    const val METHOD_NOT_ALLOWED = 405
+    const val CONFLICT = 409
+    const val GONE = 410
+    const val MISDIRECTED = 421
+    const val UNPROCESSABLE = 422
+    const val TOO_MANY = 429
+    const val UNAVAILABLE = 503
+}
--- a/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -34,16 +34,22 @@
 /**
  * An HTTP/1.1 server on one address.
  *
- * @param connectionLimit further connections are told to come back later, and beyond some of these closed at once: sockets
- * must be left for our own calls.
+ * @param connectionLimit beyond it, a new connection takes the place of the one that has been idle for longest. Where none is
+ * idle, it is told to come back later, and beyond some of these closed at once: sockets must be left for our own calls. So
+ * more callers than connections take turns, and none of them is refused for as long as others stay connected.
+ * @param longestBody in bytes; a longer one is refused with 400.
  */
 class NettyHttpServer(
     private val group: EventLoopGroup,
     private val connectionLimit: Int,
+    private val longestBody: Int = LONGEST_PROTOCOL_BODY,
     private val handler: RequestHandler,
 ) {
     private var open = 0
 
+    /** Connections that wait for their next request, longest idle first, and since when. */
+    private val idleSince = LinkedHashMap<Channel, Long>()
+
     fun listen(at: Endpoint) {
         ServerBootstrap()
             .group(group)
@@ -60,13 +66,17 @@
     }
 
     private fun accept(channel: SocketChannel) {
+        if (open >= connectionLimit) closeLongestIdle()
         val refused = open >= connectionLimit
         if (open >= connectionLimit * (1.0 + SPARE)) {
             channel.close()
             return
         }
         open++
-        channel.closeFuture().addListener { open-- }
+        channel.closeFuture().addListener {
+            open--
+            idleSince.remove(channel)
+        }
         channel
             .pipeline()
             .addLast(IdleStateHandler(if (refused) REFUSED_IDLE_S else IDLE_S, 0, 0))
@@ -75,10 +85,17 @@
             .addLast(Conversation(refused))
     }
 
-    /** A body over the protocol's limit gets a plain 400, and the connection ends. */
-    private class BoundedAggregator : HttpObjectAggregator(LONGEST_BODY) {
+    private fun closeLongestIdle() {
+        val (longest, since) = idleSince.entries.firstOrNull() ?: return
+        if (System.nanoTime() - since < SHORTEST_IDLE_NANOS) return
+        idleSince.remove(longest)
+        longest.close()
+    }
+
+    /** A body over the limit gets a plain 400, and the connection ends. */
+    private inner class BoundedAggregator : HttpObjectAggregator(longestBody) {
         override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
-            val response = response(Reply(BAD_REQUEST, UserWire.error("body over 64 KiB", "body")), keep = false)
+            val response = response(Reply(BAD_REQUEST, UserWire.error("body over ${longestBody / KIB} KiB", "body")), keep = false)
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
         }
     }
@@ -86,6 +103,7 @@
     private inner class Conversation(private val refused: Boolean) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(message)
+            idleSince.remove(context.channel())
             if (message.decoderResult().isFailure) {
                 answer(context.channel(), Reply(BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
                 return
@@ -123,7 +141,7 @@
     private fun answer(channel: Channel, reply: Reply, keep: Boolean) {
         if (!channel.isActive) return
         val written = channel.writeAndFlush(response(reply, keep))
-        if (!keep) written.addListener(ChannelFutureListener.CLOSE)
+        if (keep) idleSince[channel] = System.nanoTime() else written.addListener(ChannelFutureListener.CLOSE)
     }
 
     companion object {
@@ -135,7 +153,13 @@
         private const val LONGEST_LINE = 4096
         private const val LONGEST_HEADERS = 8192
         private const val LONGEST_CHUNK = 8192
-        private const val LONGEST_BODY = 64 * 1024
+        private const val KIB = 1024
+
+        /** By the protocol with users and workers. */
+        const val LONGEST_PROTOCOL_BODY = 64 * KIB
+
+        /** A connection that has just been answered may bring its next request at once. */
+        private const val SHORTEST_IDLE_NANOS = 300_000_000L
         private const val BAD_REQUEST = 400
         private const val UNAVAILABLE = 503
         private val log = LoggerFactory.getLogger("http.server")
--- /dev/null
+++ b/src/test/kotlin/copperglade/coordination/RemovedMachinesTest.kt
@@ -0,0 +1,46 @@
+package copperglade.coordination
+
+import copperglade.protocol.Endpoint
+import copperglade.protocol.FencingToken
+import copperglade.protocol.MachineName
+import copperglade.protocol.Report
+import copperglade.sim.SimLoop
+import copperglade.sim.Simulation
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class RemovedMachinesTest {
+    private val sim = Simulation(1)
+    private val removed = RemovedMachines(SimLoop(sim))
+
+    private fun machine(number: Int) = MachineName("i-$number")
+
+    private fun report(number: Int, session: Long) =
+        Report(machine(number), Endpoint("10.0.0.1", 1), "box", "north", false, session, 1, FencingToken(1), null, emptyList())
+
+    @Test
+    fun `a fleet lost at once is remembered whole for as long as late copies may come`() {
+        repeat(MACHINES) { removed.expired(machine(it), session = 3) }
+        sim.run(50 * 60_000.0)
+        removed.deleted(machine(MACHINES))
+        repeat(MACHINES) { number ->
+            assertTrue(removed.covers(report(number, session = 3)))
+            assertFalse(removed.covers(report(number, session = 4)))
+        }
+    }
+
+    @Test
+    fun `what was removed long ago takes no memory`() {
+        repeat(MACHINES) { removed.deleted(machine(it)) }
+        sim.run(61 * 60_000.0)
+        removed.expired(machine(MACHINES), session = 1)
+        assertEquals(1, removed.size)
+        assertTrue(removed.knows(machine(MACHINES)))
+    }
+
+    private companion object {
+        const val MACHINES = 20_000
+    }
+}
--- a/src/test/kotlin/copperglade/sim/FleetTest.kt
+++ b/src/test/kotlin/copperglade/sim/FleetTest.kt
@@ -56,6 +56,52 @@
         assertEquals(0, unfinished, "arrays that never ended")
     }
 
+    /**
+     * From nothing to nearly four thousand machines, the end of the leader, then half of the fleet lost at once while copies of
+     * reports come late.
+     */
+    @Test
+    fun `four thousand machines from nothing, a leader's end, and half of them lost at once`() {
+        val huge = SiteScale(
+            machinesPerZone = 1000,
+            reportS = 6.0,
+            leaseS = 30.0,
+            cancelS = 60.0,
+            stateRps = 600.0,
+            stateWriteRps = 200.0,
+            valueKb = 32.0,
+            transactionWrites = 20,
+            cloudRps = 12.0,
+            guaranteedCpus = 20_000.0,
+            teamCpus = 80_000.0,
+        )
+        val site = SimSite(Simulation(4), scale = huge, nodes = 5)
+        services(site, 1500, cpus = 8.0)
+        repeat(110) { number -> site.submit(SimSite.job(number + 1, tasks = 400, image = 20 + number % 9, etaS = 60.0)) { 60.0 } }
+        site.await(120.0) { site.workerCount() >= 3600 }
+        assertEquals(0, site.cloudRefusals, "requests to the cloud beyond its budget")
+        site.run(20.0)
+        site.crash(site.leader()!!, 3000.0)
+        site.run(10.0)
+        val calls = site.network.calls
+        site.run(20.0)
+        // Reports, the commands that follow, polls, and little beside: nothing grows faster than the fleet.
+        val perMachine = (site.network.calls - calls).toDouble() / site.workerCount()
+        assertTrue(perMachine < 60.0, "$perMachine messages a machine in 20 s")
+        site.network.copyOneIn = 4
+        site.run(10.0)
+        repeat(site.workerCount() / 2) { site.killMachine(it) }
+        val left = site.workerCount()
+        site.run(60.0)
+        site.network.copyOneIn = 0
+        assertTrue(site.network.copiesDelivered > left, "${site.network.copiesDelivered} copies")
+        site.run(200.0)
+        site.checkForgotten()
+        assertEquals(emptyList<String>(), site.breaches)
+        assertEquals(0, site.users.values.count { it.work(0) != null && !it.finished }, "arrays that never ended")
+        assertEquals(1500, site.runningTasks().keys.count { it.job.text.length == "job-10000".length })
+    }
+
     @ParameterizedTest
     @ValueSource(longs = [2, 3])
     fun `dozens of machines hang, die or lose the network at once`(seed: Long) {
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -82,8 +82,19 @@
         listOf(CloudType("box", 16.0, 128.0, 6.0, scale.machinesPerZone)),
         ZONES,
         ::boot,
+        scale.cloudRps,
         { workers.remove(it.name)?.die() },
     )
+
+    /** How many times as long as usual the machine of this number takes to come up; null: it never does. */
+    var bootFactor: (Int) -> Double?
+        get() = cloud.bootFactor
+        set(factor) {
+            cloud.bootFactor = factor
+        }
+
+    /** Requests that the cloud refused for coming too fast. */
+    val cloudRefusals: Int get() = cloud.refused
     val breaches = ArrayList<String>()
     val users = HashMap<JobId, User>()
     private val pipelines = PipelineReferee(users, { sim.nowMs }, scale.cancelS * 1000, ::breach)
--- a/src/test/kotlin/copperglade/standin/LocalSite.kt
+++ b/src/test/kotlin/copperglade/standin/LocalSite.kt
@@ -50,8 +50,8 @@
     private fun member(node: Int) = MemberId("local-$node")
 
     fun start() {
-        NettyHttpServer(loop.group, SOCKETS, rememberingJobs(state)).listen(STATE)
-        NettyHttpServer(loop.group, SOCKETS, cloud).listen(CLOUD)
+        NettyHttpServer(loop.group, SOCKETS, handler = rememberingJobs(state)).listen(STATE)
+        NettyHttpServer(loop.group, SOCKETS, handler = cloud).listen(CLOUD)
         repeat(NODES) { Main.run(settings(it), Tuning()) }
         println("controllers: ${(0 until NODES).joinToString { "http://${client(it)}" }}")
     }
@@ -85,7 +85,7 @@
         )
         workers[machine.name] = worker
         loop.after(Duration.ZERO) { worker.start() }
-        Thread { NettyHttpServer(loop.group, SOCKETS, worker).listen(endpoint) }.start()
+        Thread { NettyHttpServer(loop.group, SOCKETS, handler = worker).listen(endpoint) }.start()
     }
 
     private fun settings(node: Int) = PlatformSettings(
--- a/src/test/kotlin/copperglade/standin/StandInCloud.kt
+++ b/src/test/kotlin/copperglade/standin/StandInCloud.kt
@@ -8,6 +8,7 @@
 import copperglade.protocol.obj
 import copperglade.protocol.secondsSince
 import copperglade.protocol.text
+import copperglade.storage.TokenBucket
 import copperglade.transport.EventLoop
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -23,8 +24,16 @@
     private val types: List<CloudType>,
     private val zones: List<String>,
     private val boot: (Machine) -> Unit,
+    /** Requests a second; bursts worth two seconds are allowed, and what is above gets 429. */
+    rps: Double = Double.MAX_VALUE,
     private val deleted: (Machine) -> Unit,
 ) : RequestHandler {
+    private val budget = TokenBucket(rps, BURST_S, loop.now())
+
+    /** Requests that were refused for coming too fast. */
+    var refused = 0
+        private set
+
     class Machine(
         val name: String,
         val address: String,
@@ -37,10 +46,16 @@
         var gone = false
     }
 
+    /** How many times as long as usual the machine of this number takes to come up; null: it never does. */
+    var bootFactor: (Int) -> Double? = { 1.0 }
     private val machines = LinkedHashMap<String, Machine>()
     private val answers = HashMap<String, List<String>>()
 
     override fun handle(request: Request, responder: Responder) {
+        if (!budget.tryTake(1, loop.now())) {
+            refused++
+            return responder.send(Reply(429))
+        }
         val node = Json.read(request.body)
         val path = request.path.substringBefore('?')
         responder.send(
@@ -102,7 +117,8 @@
                 loop.now(),
             )
         machines[machine.name] = machine
-        loop.after(type.bootS.seconds) {
+        val factor = bootFactor(number) ?: return machine
+        loop.after((type.bootS * factor).seconds) {
             if (!machine.gone) {
                 machine.up = true
                 boot(machine)
@@ -158,5 +174,6 @@
 
     private companion object {
         const val PAGE = 500
+        const val BURST_S = 2.0
     }
 }
--- a/src/test/kotlin/copperglade/standin/StandInState.kt
+++ b/src/test/kotlin/copperglade/standin/StandInState.kt
@@ -65,6 +65,10 @@
     var applied = 0
         private set
 
+    /** Requests that read something. */
+    var reads = 0
+        private set
+
     /** Requests that met an outage. */
     var refusedInOutage = 0
         private set
@@ -123,6 +127,7 @@
     }
 
     override fun handle(request: Request, responder: Responder) {
+        if (request.method == Method.GET) reads++
         if (outage) {
             refusedInOutage++
             return responder.send(Reply(503))
--- a/src/test/kotlin/copperglade/transport/SocketsTest.kt
+++ b/src/test/kotlin/copperglade/transport/SocketsTest.kt
@@ -1,13 +1,28 @@
 package copperglade.transport
 
+import copperglade.app.Main
+import copperglade.protocol.BlockName
+import copperglade.protocol.BlockRoom
 import copperglade.protocol.Endpoint
+import copperglade.protocol.FencingToken
+import copperglade.protocol.ImageName
+import copperglade.protocol.Incarnation
+import copperglade.protocol.MachineName
+import copperglade.protocol.MachineRoom
+import copperglade.protocol.MemberId
+import copperglade.protocol.PeerStatus
+import copperglade.protocol.PeerWire
+import copperglade.protocol.Resources
+import copperglade.protocol.Stamp
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.ServerSocket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Real sockets on loopback: a fleet's workers must not take the sockets that everything else needs. */
@@ -64,4 +79,81 @@
         assertEquals(mapOf<Int?, Int>(503 to 1, 200 to 10), statuses.groupingBy { it }.eachCount())
         loop.group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
     }
+
+    @Test
+    fun `more callers than connections take turns, and none is refused for long`() {
+        val loop = NettyEventLoop()
+        val at = freePlaces(1).single()
+        NettyHttpServer(loop.group, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(at)
+        val callers = List(CALLERS) { NettyHttpCaller(loop.group) }
+        val rounds = CALLERS * ROUNDS
+        val answered = CountDownLatch(rounds)
+
+        fun ask(caller: NettyHttpCaller, left: Int) {
+            if (left == 0) return
+            caller.call(at, Request(Method.GET, "/"), 2.seconds) { reply ->
+                val served = reply?.status == 200
+                if (served) answered.countDown()
+                loop.after(if (served) 1.seconds else 100.milliseconds) { ask(caller, if (served) left - 1 else left) }
+            }
+        }
+        loop.after(0.seconds) { callers.forEach { ask(it, ROUNDS) } }
+        assertTrue(answered.await(20, TimeUnit.SECONDS), "${answered.count} of $rounds requests were never served")
+        loop.group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    @Test
+    fun `the status of a controller with four thousand machines reaches its peers`() {
+        val loop = NettyEventLoop()
+        val (peers, users) = freePlaces(2)
+        val status = PeerWire.encode(statusOf(machines = 4000))
+        assertTrue(status.size > NettyHttpServer.LONGEST_PROTOCOL_BODY)
+        val received = ArrayList<PeerStatus?>()
+        NettyHttpServer(loop.group, CONNECTIONS, Main.LONGEST_PEER_MESSAGE) { request, responder ->
+            received += PeerWire.decode(request.body)
+            responder.send(Reply(200))
+        }.listen(peers)
+        NettyHttpServer(loop.group, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(users)
+        val caller = NettyHttpCaller(loop.group)
+        val statuses = HashMap<Endpoint, Int?>()
+        val both = CountDownLatch(2)
+        loop.after(0.seconds) {
+            for (to in listOf(peers, users)) {
+                caller.call(to, Request(Method.POST, PeerWire.PATH, status), 5.seconds) { reply ->
+                    statuses[to] = reply?.status
+                    both.countDown()
+                }
+            }
+        }
+        assertTrue(both.await(20, TimeUnit.SECONDS))
+        assertEquals(200, statuses[peers])
+        assertEquals(4000, received.single()!!.blocks.single().machines.size)
+        assertNotEquals(200, statuses[users], "a body beyond the protocol's limit was taken")
+        loop.group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    private fun statusOf(machines: Int): PeerStatus {
+        val rooms = List(machines) { number ->
+            MachineRoom(
+                MachineName("i-%06d".format(number)),
+                "type",
+                "zone",
+                spot = false,
+                usable = true,
+                worthKeeping = true,
+                idleMs = 0,
+                free = Resources(1.0, 0.0, 2.0),
+                yielding = List(4) { Resources(1.0, 0.0, 1.0) },
+                images = listOf(ImageName("img-1"), ImageName("img-2")),
+            )
+        }
+        val block = BlockRoom(BlockName("zone.0"), FencingToken(7), rooms)
+        return PeerStatus(MemberId("one"), Incarnation(1), Stamp(1), 0, false, listOf(block), emptyList(), emptyList(), 0.0)
+    }
+
+    private companion object {
+        const val CONNECTIONS = 4
+        const val CALLERS = 10
+        const val ROUNDS = 3
+    }
 }
