--- a/src/test/kotlin/copperglade/transport/SocketsTest.kt
+++ b/src/test/kotlin/copperglade/transport/SocketsTest.kt
@@ -127,7 +127,14 @@
         }
         assertTrue(both.await(20, TimeUnit.SECONDS))
         assertEquals(200, statuses[peers])
-        assertEquals(4000, received.single()!!.blocks.single().machines.size)
+        assertEquals(
+            4000,
+            received
+                .single()!!
+                .blocks
+                .single()
+                .machines.size,
+        )
         assertNotEquals(200, statuses[users], "a body beyond the protocol's limit was taken")
         loop.group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
     }
