--- /dev/null
+++ b/src/main/kotlin/copperglade/storage/PackedParts.kt
@@ -0,0 +1,31 @@
+package copperglade.storage
+
+import com.fasterxml.jackson.databind.JsonNode
+import copperglade.protocol.BlockName
+
+/** How the parts of one sort of packed record are kept with their jobs. */
+internal interface PackedParts {
+    fun present(job: Job, page: Int): PackedPart<out Versioned>?
+
+    fun set(job: Job, page: Int, value: JsonNode, recordKey: String)
+
+    fun remove(job: Job, page: Int)
+}
+
+internal object AssignmentParts : PackedParts {
+    override fun present(job: Job, page: Int) = job.pages[page]
+
+    override fun set(job: Job, page: Int, value: JsonNode, recordKey: String) =
+        job.setPage(page, PackedPart(RecordCodec.decodePage(value), recordKey, RecordCodec::encode))
+
+    override fun remove(job: Job, page: Int) = job.setPage(page, null)
+}
+
+internal class OutcomeParts(private val block: BlockName) : PackedParts {
+    override fun present(job: Job, page: Int) = job.works[WorkPlace(page, block)]
+
+    override fun set(job: Job, page: Int, value: JsonNode, recordKey: String) =
+        job.setWork(WorkPlace(page, block), PackedPart(RecordCodec.decodeWork(value), recordKey, RecordCodec::encode))
+
+    override fun remove(job: Job, page: Int) = job.setWork(WorkPlace(page, block), null)
+}
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -49,7 +49,7 @@
     /** How old what is known may become before something is asked, though nobody has asked for it. */
     private val quiet: Duration = QUIET,
     /** The ends of so many jobs are remembered; beyond them, the state service is asked. */
-    private val mostEnded: Int = endsThatFitInto(Runtime.getRuntime().maxMemory()),
+    private val mostEnded: Int = EndedJobs.endsThatFitInto(Runtime.getRuntime().maxMemory()),
     /** How long a job's tasks are predicted to run, in seconds. */
     predictRunS: (JobSpec) -> Double = { it.estimateS },
 ) {
@@ -61,8 +61,8 @@
     val images = HashMap<BlockName, Stamped<ImageRecord>>()
     var leader: Stamped<LeaderRecord>? = null
         private set
-    private val over = object : LinkedHashMap<JobId, EndRecord>(64, 0.75f, true) {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<JobId, EndRecord>?) = size > mostEnded
+    private val endedJobs = EndedJobs(loop, store, pace, mostEnded) { id ->
+        if (dependencies.isAwaited(id)) announce(Touched().also { it.jobs += id })
     }
 
     /** Which of [jobs] wait for others, and what follows from that. */
@@ -75,9 +75,6 @@
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var pulling = false
     private var watching = false
-    private val endsAsked = LinkedHashMap<JobId, ArrayList<(ReadOutcome) -> Unit>>()
-    private var readingEnds = false
-    private var endsLoaded = false
     private var lastReading = Moment.NEVER
     private var takingTook = Duration.ZERO
 
@@ -140,10 +137,7 @@
                 touched.standing = true
                 announce(touched)
                 watch()
-                if (!endsLoaded) {
-                    endsLoaded = true
-                    loop.after(ENDS_PACE) { loadEnds(null) }
-                }
+                endedJobs.loadOnce()
                 pullIfAsked()
             }
         }
@@ -303,7 +297,7 @@
     }
 
     private fun rememberEnd(id: JobId, value: JsonNode, touched: Touched) {
-        over[id] = RecordCodec.decodeEnd(value) ?: return
+        endedJobs.remember(id, value)
         if (dependencies.isAwaited(id)) touched.jobs += id
     }
 
@@ -331,35 +325,8 @@
         }
     }
 
-    /** How the parts of one sort of packed record are kept with their jobs. */
-    private interface Parts {
-        fun present(job: Job, page: Int): PackedPart<out Versioned>?
-
-        fun set(job: Job, page: Int, value: JsonNode, recordKey: String)
-
-        fun remove(job: Job, page: Int)
-    }
-
-    private object AssignmentParts : Parts {
-        override fun present(job: Job, page: Int) = job.pages[page]
-
-        override fun set(job: Job, page: Int, value: JsonNode, recordKey: String) =
-            job.setPage(page, PackedPart(RecordCodec.decodePage(value), recordKey, RecordCodec::encode))
-
-        override fun remove(job: Job, page: Int) = job.setPage(page, null)
-    }
-
-    private class OutcomeParts(private val block: BlockName) : Parts {
-        override fun present(job: Job, page: Int) = job.works[WorkPlace(page, block)]
-
-        override fun set(job: Job, page: Int, value: JsonNode, recordKey: String) =
-            job.setWork(WorkPlace(page, block), PackedPart(RecordCodec.decodeWork(value), recordKey, RecordCodec::encode))
-
-        override fun remove(job: Job, page: Int) = job.setWork(WorkPlace(page, block), null)
-    }
-
     /** Only what has changed in a packed record is read, and counts as touched. */
-    private fun putPackedRecord(key: String, value: JsonNode, stamp: Stamp, parts: Parts, touched: Touched) {
+    private fun putPackedRecord(key: String, value: JsonNode, stamp: Stamp, parts: PackedParts, touched: Touched) {
         val before = packedRecordsByKey[key]
         if (before != null && before.stamp >= stamp) return
         val places = HashSet<JobPage>()
@@ -375,14 +342,14 @@
         packedRecordsByKey[key] = PackedRecord(stamp, places)
     }
 
-    private fun dropPackedRecord(key: String, stamp: Stamp, parts: Parts, touched: Touched) {
+    private fun dropPackedRecord(key: String, stamp: Stamp, parts: PackedParts, touched: Touched) {
         val before = packedRecordsByKey[key]?.takeIf { it.stamp < stamp } ?: return
         before.places.forEach { removePart(key, it, parts, touched) }
         packedRecordsByKey.remove(key)
     }
 
     /** A part that has moved to another record meanwhile stays. */
-    private fun removePart(key: String, place: JobPage, parts: Parts, touched: Touched) = editJob(place.job, touched) {
+    private fun removePart(key: String, place: JobPage, parts: PackedParts, touched: Touched) = editJob(place.job, touched) {
         if (parts.present(it, place.page)?.recordKey == key) parts.remove(it, place.page)
     }
 
@@ -403,73 +370,15 @@
     private fun older(present: Stamped<*>?, stamp: Stamp) = present != null && present.stamp < stamp
 
     /** The end of a job, as far as it is remembered here. It never changes once written. */
-    fun endOf(id: JobId): EndRecord? = over[id]
+    fun endOf(id: JobId): EndRecord? = endedJobs[id]
 
-    /**
-     * Reads the end of a job from the service, in order of asking. What is found is remembered even where the asker has
-     * given up, so that its next question is answered at once: left to whoever asks in a lucky moment, some of the jobs
-     * asked for after a restart would get no answer for minutes. Beyond the queue, the answer is no answer, at once.
-     */
-    fun readEnd(id: JobId, done: (ReadOutcome) -> Unit) {
-        val waiting = endsAsked[id]
-        when {
-            waiting != null && waiting.size < MOST_ASKERS -> waiting += done
-            waiting != null || endsAsked.size >= MOST_ENDS_ASKED -> done(ReadOutcome.Failed)
-            else -> {
-                endsAsked[id] = arrayListOf(done)
-                readEnds()
-            }
-        }
-    }
-
-    private fun readEnds() {
-        while (endsAsked.isNotEmpty() && store.mayRead()) {
-            val (id, waiting) = endsAsked.entries.first()
-            // Whoever asks from now on is not served by this reading: it may be older than the question.
-            endsAsked.remove(id)
-            store.read(Keys.over(id)) { outcome ->
-                if (outcome is ReadOutcome.Present) announce(Touched().also { rememberEnd(id, outcome.value, it) })
-                waiting.forEach { it(outcome) }
-            }
-        }
-        if (endsAsked.isEmpty() || readingEnds) return
-        readingEnds = true
-        loop.after(pace) {
-            readingEnds = false
-            readEnds()
-        }
-    }
-
-    /** What users may ask for at once after a restart: the ends of jobs, as many as are remembered, a page at a time. */
-    private fun loadEnds(from: String?) {
-        store.list(Keys.OVER, from) { listing ->
-            val touched = Touched()
-            listing?.entries?.forEach { entry ->
-                val id = (Keys.parse(entry.key) as? ParsedKey.Over)?.job
-                if (id != null) rememberEnd(id, entry.value, touched)
-            }
-            announce(touched)
-            val next = if (listing == null) from else listing.entries.lastOrNull()?.key
-            if ((listing == null || listing.more) && over.size < mostEnded) loop.after(ENDS_PACE) { loadEnds(next) }
-        }
-    }
+    /** Looks the end of a job up in the state service; see [EndedJobs.read]. */
+    fun readEnd(id: JobId, done: (ReadOutcome) -> Unit) = endedJobs.read(id, done)
 
     companion object {
-        /** About what a remembered end takes, with its id and its place among the others. */
-        private const val BYTES_AN_END = 200
-        private const val ENDS_PART_OF_HEAP = 16
-        private const val FEWEST_ENDED = 10_000
-
-        /** A sixteenth of the heap: 36,700 ends in 112 MB. */
-        fun endsThatFitInto(heapBytes: Long): Int =
-            (heapBytes / ENDS_PART_OF_HEAP / BYTES_AN_END).coerceIn(FEWEST_ENDED.toLong(), Int.MAX_VALUE.toLong()).toInt()
-
         /** So many questions may wait for a reading, or two for each live job where that is more. */
         private const val MOST_WAITING = 2_000
         private const val QUESTIONS_A_JOB = 2
-        private const val MOST_ENDS_ASKED = 500
-        private const val MOST_ASKERS = 8
-        private val ENDS_PACE = 1.seconds
         private val LOOK_UP_PACE = 500.milliseconds
         private val RETRY = 250.milliseconds
         private val WATCH_WAIT = 10.seconds
