HTTP statuses in one place; small repeats removed

A submission's record is encoded once less, and its size checked once more only where it names dependencies; Job.abortedByDependency serves the dependency graph as well; a comparison without effect goes. Behaviour and tests are unchanged.

--- a/src/main/kotlin/copperglade/app/Rehearsal.kt
+++ b/src/main/kotlin/copperglade/app/Rehearsal.kt
@@ -5,6 +5,7 @@
 import copperglade.protocol.Json
 import copperglade.protocol.PlatformSettings
 import copperglade.protocol.obj
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.NettyEventLoop
 import copperglade.transport.NettyHttpCaller
@@ -71,7 +72,7 @@
             path == "/do" -> report(DO_TALLY, 1)
             else -> null
         }
-        val reply = if (text == null) Reply(UNAVAILABLE) else Reply(OK, text.toByteArray())
+        val reply = if (text == null) Reply(HttpStatus.UNAVAILABLE) else Reply(HttpStatus.OK, text.toByteArray())
         loop.after(2.milliseconds) { responder.send(reply) }
     }
 
@@ -106,8 +107,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val UNAVAILABLE = 503
         const val PORTS = 3
         const val SOCKETS = 100
         const val ROUNDS = 30
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -18,6 +18,7 @@
 import copperglade.storage.TokenBucket
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -222,7 +223,7 @@
             path.startsWith(
                 "${UserWire.JOBS_PATH}/",
             ) -> job(request, path.removePrefix("${UserWire.JOBS_PATH}/"), responder)
-            else -> responder.send(Reply(NOT_FOUND, UserWire.error("no such path")))
+            else -> responder.send(Reply(HttpStatus.NOT_FOUND, UserWire.error("no such path")))
         }
     }
 
@@ -230,7 +231,7 @@
         val cancelling = rest.endsWith("/${UserWire.CANCEL_END}")
         val id = JobId.parse(rest.removeSuffix("/${UserWire.CANCEL_END}"))
         when {
-            id == null -> responder.send(Reply(NOT_FOUND, UserWire.error("no such job")))
+            id == null -> responder.send(Reply(HttpStatus.NOT_FOUND, UserWire.error("no such job")))
             cancelling -> onPost(request, responder) { jobService.cancel(id, responder) }
             request.method == Method.GET -> jobService.poll(id, polls.timed(responder))
             else -> wrongMethod(responder)
@@ -241,13 +242,13 @@
         if (request.method == Method.POST) action() else wrongMethod(responder)
 
     private fun wrongMethod(responder: Responder) =
-        responder.send(Reply(METHOD_NOT_ALLOWED, UserWire.error("method not allowed here")))
+        responder.send(Reply(HttpStatus.METHOD_NOT_ALLOWED, UserWire.error("method not allowed here")))
 
     private fun checkin(request: Request, responder: Responder) {
         val report = WorkerWire.parseReport(request.body)
         responder.send(
             when {
-                report == null -> Reply(BAD_REQUEST, UserWire.error("not a worker's report"))
+                report == null -> Reply(HttpStatus.BAD_REQUEST, UserWire.error("not a worker's report"))
                 replica.state != ReplicaState.CURRENT -> JobService.later()
                 else -> owner.checkin(report)
             },
@@ -264,7 +265,7 @@
         val alone = othersHearState()
         val lonely = settings.peers.isNotEmpty() && settings.peers.none { peerMessenger.of(it.member) != null } && silent >= LONELY_S
         val healthy = replica.state == ReplicaState.CURRENT && types.known && (silent * 1000 < SILENT_MS || !(alone || lonely))
-        return if (healthy) Reply(OK) else Reply(UNAVAILABLE, UserWire.error("not ready"))
+        return if (healthy) Reply(HttpStatus.OK) else Reply(HttpStatus.UNAVAILABLE, UserWire.error("not ready"))
     }
 
     private fun othersHearState(): Boolean = settings.peers.any { peer ->
@@ -275,26 +276,20 @@
     private fun handlePeer(request: Request, responder: Responder) {
         if (request.path == PeerWire.ENDORSEMENT_PATH) {
             val endorsed = leaseEndorsement.endorse(MemberId(request.body.decodeToString()))
-            return responder.send(Reply(if (endorsed) OK else CONFLICT))
+            return responder.send(Reply(if (endorsed) HttpStatus.OK else HttpStatus.CONFLICT))
         }
         if (request.path == PeerWire.CANCELLED_PATH) {
             val cancellations = PeerWire.decodeCancelled(request.body)
             cancellations?.let(cancellationNotices::receive)
-            return responder.send(Reply(if (cancellations == null) BAD_REQUEST else OK))
+            return responder.send(Reply(if (cancellations == null) HttpStatus.BAD_REQUEST else HttpStatus.OK))
         }
-        if (request.path != PeerWire.PATH) return responder.send(Reply(NOT_FOUND))
+        if (request.path != PeerWire.PATH) return responder.send(Reply(HttpStatus.NOT_FOUND))
         val status = PeerWire.decode(request.body)
         if (status != null) peerMessenger.receive(status)
-        responder.send(Reply(if (status == null) BAD_REQUEST else OK))
+        responder.send(Reply(if (status == null) HttpStatus.BAD_REQUEST else HttpStatus.OK))
     }
 
     companion object {
-        private const val OK = 200
-        private const val BAD_REQUEST = 400
-        private const val NOT_FOUND = 404
-        private const val CONFLICT = 409
-        private const val METHOD_NOT_ALLOWED = 405
-        private const val UNAVAILABLE = 503
         private const val SILENT_MS = 3000L
         private const val BUDGET_USED = 0.9
         private const val CLOUD_SHARE = 0.9
--- a/src/main/kotlin/copperglade/coordination/Fleet.kt
+++ b/src/main/kotlin/copperglade/coordination/Fleet.kt
@@ -22,6 +22,7 @@
 import copperglade.storage.TokenBucket
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import org.slf4j.LoggerFactory
@@ -163,7 +164,7 @@
         dead.forEach { deletedAt[it] = now }
         log.info("deleting dead machines {}", dead)
         http.call(cloud, Request(Method.POST, "/machines/delete", CloudWire.deletion(dead)), DELETE_TIMEOUT) { reply ->
-            if (reply?.status != OK) dead.forEach(deletedAt::remove)
+            if (reply?.status != HttpStatus.OK) dead.forEach(deletedAt::remove)
         }
     }
 
@@ -262,7 +263,7 @@
     private fun ask(name: String, kind: Kind, number: Int, tries: Int) {
         val body = CloudWire.rental(name, kind.type, kind.zone, kind.spot, number)
         http.call(cloud, Request(Method.POST, "/machines", body), RENT_TIMEOUT) { reply ->
-            val rented = reply?.takeIf { it.status == OK }?.let { CloudWire.parseRented(Json.read(it.body)) }
+            val rented = reply?.takeIf { it.status == HttpStatus.OK }?.let { CloudWire.parseRented(Json.read(it.body)) }
             when {
                 rented != null -> {
                     log.info("rented {} of {} {}", rented.size, number, kind)
@@ -271,7 +272,7 @@
                     if (rented.size < number) refusedUntil[kind] = loop.now() + REFUSED
                 }
                 // The same name again: if the first request was carried out after all, nothing more is rented.
-                (reply == null || reply.status == TOO_MANY) && tries > 0 ->
+                (reply == null || reply.status == HttpStatus.TOO_MANY) && tries > 0 ->
                     loop.after(RETRY) { ask(name, kind, number, tries - 1) }
                 else -> {
                     log.info("no {} to be had: {}", kind, reply?.status)
@@ -319,8 +320,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val TOO_MANY = 429
         const val SLOWEST_FETCH = 1e-3
         const val MS = 1000
         const val LONGEST_BOOTS = 3.0
--- a/src/main/kotlin/copperglade/coordination/JobService.kt
+++ b/src/main/kotlin/copperglade/coordination/JobService.kt
@@ -30,6 +30,7 @@
 import copperglade.storage.Urgency
 import copperglade.storage.Write
 import copperglade.transport.EventLoop
+import copperglade.transport.HttpStatus
 import copperglade.transport.Reply
 import copperglade.transport.Responder
 import org.slf4j.LoggerFactory
@@ -57,7 +58,7 @@
             is ParsedJob.Bad -> refuse(id, badRequest(parsed.why), responder)
             is ParsedJob.Good -> {
                 if (!types.known || replica.state != ReplicaState.CURRENT || store.crowded()) return responder.send(later())
-                val refusal = impossible(parsed.spec)?.let(::unprocessable) ?: if (fits(parsed.spec)) null else tooLarge("body")
+                val refusal = impossible(parsed.spec)?.let(::unprocessable) ?: if (fits(recordOf(parsed.spec))) null else tooLarge("body")
                 if (refusal != null) refuse(id, refusal, responder) else acceptAfter(parsed.dependencies, parsed.spec, responder)
             }
         }
@@ -79,7 +80,7 @@
                 is Resolution.Accepted -> {
                     // One that needs a cancelled job is accepted all the same, and cancelled from its first moment.
                     val record = LiveRecord(spec, loop.wallMillis(), resolution.aborted, resolution.open)
-                    if (fits(spec, resolution.open)) {
+                    if (record.dependencies.isEmpty() || fits(record)) {
                         accept(record, responder, TRIES)
                     } else {
                         refuse(spec.id, tooLarge(JobSpecCodec.DEPENDENCIES), responder)
@@ -89,11 +90,10 @@
         }
     }
 
-    /** Whether the state service takes the job's record, also once that carries the cancelled mark. */
-    private fun fits(spec: JobSpec, dependencies: List<JobId> = emptyList()): Boolean {
-        val largest = LiveRecord(spec, loop.wallMillis(), cancelled = true, dependencies)
-        return RecordCodec.encode(largest).size <= store.limits.valueBytes
-    }
+    private fun recordOf(spec: JobSpec) = LiveRecord(spec, loop.wallMillis(), cancelled = false)
+
+    /** Whether the state service takes [record], also once that carries the cancelled mark. */
+    private fun fits(record: LiveRecord): Boolean = RecordCodec.encode(record.withCancelledMark()).size <= store.limits.valueBytes
 
     private fun accept(record: LiveRecord, responder: Responder, tries: Int) {
         val spec = record.spec
@@ -107,7 +107,7 @@
                     replica.applied(transaction, outcome.stamp)
                     log.debug("{} accepted: {} tasks of {}", spec.id, spec.tasks, spec.load)
                     val status = if (record.cancelled) JobStatus.CANCELLED else JobStatus.QUEUED
-                    responder.send(Reply(CREATED, UserWire.short(spec.id, status)))
+                    responder.send(Reply(HttpStatus.CREATED, UserWire.short(spec.id, status)))
                 }
                 is TransactionOutcome.Conflict -> status(spec.id, responder) { answerKnown(it, responder) }
                 TransactionOutcome.Refused -> {
@@ -130,7 +130,7 @@
     }
 
     fun poll(id: JobId, responder: Responder) = status(id, responder) { answer ->
-        responder.send(if (answer == null) unknown() else Reply(OK, UserWire.full(answer)))
+        responder.send(if (answer == null) unknown() else Reply(HttpStatus.OK, UserWire.full(answer)))
     }
 
     fun cancel(id: JobId, responder: Responder) = cancel(id, responder, TRIES)
@@ -139,7 +139,7 @@
         val live = replica.jobs[id]?.live
         when {
             answer == null -> responder.send(unknown())
-            answer.status.final -> responder.send(Reply(OK, UserWire.short(id, answer.status)))
+            answer.status.final -> responder.send(Reply(HttpStatus.OK, UserWire.short(id, answer.status)))
             live == null || tries == 0 -> responder.send(later())
             else -> {
                 val record = cancelledRecord(live.value)
@@ -167,8 +167,7 @@
      * its list of machine types is what can make it so.
      */
     private fun cancelledRecord(live: LiveRecord): LiveRecord {
-        val whole = live.withCancelledMark()
-        if (RecordCodec.encode(whole).size <= store.limits.valueBytes) return whole
+        if (fits(live)) return live.withCancelledMark()
         return LiveRecord(live.spec.withoutTypes(), live.acceptedAtMs, cancelled = true, live.dependencies)
     }
 
@@ -206,28 +205,22 @@
     private fun answerOf(job: Job) = JobAnswer(job.id, job.status(), job.done.cardinality(), job.assignments().count())
 
     private fun answerKnown(answer: JobAnswer?, responder: Responder) =
-        responder.send(if (answer == null) later() else Reply(OK, UserWire.short(answer.id, answer.status)))
+        responder.send(if (answer == null) later() else Reply(HttpStatus.OK, UserWire.short(answer.id, answer.status)))
 
-    private fun badRequest(why: BadField) = Reply(BAD_REQUEST, UserWire.error("${why.field}: ${why.problem}", why.field))
+    private fun badRequest(why: BadField) = Reply(HttpStatus.BAD_REQUEST, UserWire.error("${why.field}: ${why.problem}", why.field))
 
-    private fun unprocessable(problem: String) = Reply(UNPROCESSABLE, UserWire.error(problem))
+    private fun unprocessable(problem: String) = Reply(HttpStatus.UNPROCESSABLE, UserWire.error(problem))
 
     private fun tooLarge(field: String) = badRequest(BadField(field, "too large to be stored"))
 
-    private fun unknown() = Reply(NOT_FOUND, UserWire.error("no such job"))
+    private fun unknown() = Reply(HttpStatus.NOT_FOUND, UserWire.error("no such job"))
 
     companion object {
-        private const val OK = 200
-        private const val CREATED = 201
-        private const val BAD_REQUEST = 400
-        private const val NOT_FOUND = 404
-        private const val UNPROCESSABLE = 422
-        private const val UNAVAILABLE = 503
         private const val TRIES = 2
         private val log = LoggerFactory.getLogger("desk")
         private val RETRY = 100.milliseconds
         private val LONGEST_READING = 5.seconds
 
-        fun later() = Reply(UNAVAILABLE, UserWire.error("not now, ask again"), retryAfterS = 1)
+        fun later() = Reply(HttpStatus.UNAVAILABLE, UserWire.error("not now, ask again"), retryAfterS = 1)
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Latencies.kt
+++ b/src/main/kotlin/copperglade/coordination/Latencies.kt
@@ -1,6 +1,7 @@
 package copperglade.coordination
 
 import copperglade.transport.EventLoop
+import copperglade.transport.HttpStatus
 import copperglade.transport.Reply
 import copperglade.transport.Responder
 import org.HdrHistogram.Histogram
@@ -24,7 +25,7 @@
         val began = loop.now()
         return Responder { reply: Reply ->
             histogram.recordValue((loop.now().ms - began.ms).coerceIn(0, LONGEST_MS))
-            if (reply.status == UNAVAILABLE) turnedAway++
+            if (reply.status == HttpStatus.UNAVAILABLE) turnedAway++
             responder.send(reply)
         }
     }
@@ -47,7 +48,6 @@
     private companion object {
         const val LONGEST_MS = 60_000L
         const val DIGITS = 2
-        const val UNAVAILABLE = 503
         val PACE = 60.seconds
         val log = LoggerFactory.getLogger("users")
     }
--- a/src/main/kotlin/copperglade/coordination/LeaseEndorsement.kt
+++ b/src/main/kotlin/copperglade/coordination/LeaseEndorsement.kt
@@ -7,6 +7,7 @@
 import copperglade.storage.StateClient
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,7 +54,11 @@
         val request = Request(Method.POST, PeerWire.ENDORSEMENT_PATH, self.text.encodeToByteArray())
         http.call(peer.endpoint, request, TIMEOUT) { reply ->
             asking -= peer.member
-            if (reply?.status == OK && intact()) endorsedBy[peer.member] = sent + ENDORSEMENT_LENGTH * (1.0 - SessionLease.DRIFT) - MARGIN
+            if (reply?.status == HttpStatus.OK &&
+                intact()
+            ) {
+                endorsedBy[peer.member] = sent + ENDORSEMENT_LENGTH * (1.0 - SessionLease.DRIFT) - MARGIN
+            }
         }
     }
 
@@ -71,7 +76,6 @@
     }
 
     private companion object {
-        const val OK = 200
         val ENDORSEMENT_LENGTH = 3.seconds
         val MARGIN = 100.milliseconds
         val PACE = 400.milliseconds
--- a/src/main/kotlin/copperglade/coordination/MachineListing.kt
+++ b/src/main/kotlin/copperglade/coordination/MachineListing.kt
@@ -9,6 +9,7 @@
 import copperglade.storage.TokenBucket
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import kotlin.time.Duration
@@ -72,7 +73,7 @@
         }
         val request = Request(Method.GET, "/machines?from=$from&limit=${CloudWire.LIST_LIMIT}")
         http.call(cloud, request, TIMEOUT) { reply ->
-            val page = reply?.takeIf { it.status == OK }?.let { CloudWire.parsePage(Json.read(it.body)) }
+            val page = reply?.takeIf { it.status == HttpStatus.OK }?.let { CloudWire.parsePage(Json.read(it.body)) }
             when {
                 reading !== current -> Unit
                 page == null -> tryAgain(current, from)
@@ -105,7 +106,6 @@
     }
 
     private companion object {
-        const val OK = 200
         const val BUDGET_PART = 0.35
         const val MOST_FAILURES = 3
         val SHORTEST_PACE = 2.seconds
--- a/src/main/kotlin/copperglade/coordination/MachineTypeCatalog.kt
+++ b/src/main/kotlin/copperglade/coordination/MachineTypeCatalog.kt
@@ -6,6 +6,7 @@
 import copperglade.protocol.MachineType
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import kotlin.time.Duration.Companion.seconds
@@ -21,7 +22,7 @@
 
     fun start() {
         http.call(cloud, Request(Method.GET, "/machine_types"), TIMEOUT) { reply ->
-            val read = reply?.takeIf { it.status == 200 }?.let { CloudWire.parseTypes(Json.read(it.body)) }
+            val read = reply?.takeIf { it.status == HttpStatus.OK }?.let { CloudWire.parseTypes(Json.read(it.body)) }
             if (!read.isNullOrEmpty()) types = read.associateBy { it.name }
             loop.after(if (read.isNullOrEmpty()) RETRY else REFRESH) { start() }
         }
--- a/src/main/kotlin/copperglade/coordination/Owner.kt
+++ b/src/main/kotlin/copperglade/coordination/Owner.kt
@@ -23,6 +23,7 @@
 import copperglade.storage.TransactionOutcome
 import copperglade.storage.Urgency
 import copperglade.storage.Write
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -212,10 +213,10 @@
         val name = blockMap.of(report.machine, report.zone)
         val block = owned[name]
         if (block != null && membership.mayAct) {
-            return block.checkin(report)?.let { Reply(OK, it) } ?: Reply(UNAVAILABLE)
+            return block.checkin(report)?.let { Reply(HttpStatus.OK, it) } ?: Reply(HttpStatus.UNAVAILABLE)
         }
-        if (block != null && membership.mayKeep && !othersKnowMore()) block.keep(report)?.let { return Reply(OK, it) }
-        return Reply(MISDIRECTED, WorkerWire.sendOn(ownerElsewhere(name)))
+        if (block != null && membership.mayKeep && !othersKnowMore()) block.keep(report)?.let { return Reply(HttpStatus.OK, it) }
+        return Reply(HttpStatus.MISDIRECTED, WorkerWire.sendOn(ownerElsewhere(name)))
     }
 
     private fun ownerElsewhere(name: BlockName): MemberId? {
@@ -251,7 +252,7 @@
         }
         val body = CloudWire.deletion(empty.map { it.second.name })
         context.http.call(cloud, Request(Method.POST, "/machines/delete", body), DELETE_TIMEOUT) { reply ->
-            val deleted = reply?.status == OK
+            val deleted = reply?.status == HttpStatus.OK
             for ((block, machine) in empty) {
                 machine.deleting = false
                 if (deleted && block.machines[machine.name] === machine) block.deleted(machine)
@@ -261,9 +262,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val MISDIRECTED = 421
-        const val UNAVAILABLE = 503
         const val PART_OF_VALUE = 0.8
         const val PLENTY = 0.6
         val REMEMBER_PACE = 10.seconds
--- a/src/main/kotlin/copperglade/coordination/PeerMessenger.kt
+++ b/src/main/kotlin/copperglade/coordination/PeerMessenger.kt
@@ -13,6 +13,7 @@
 import copperglade.storage.Write
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import kotlin.time.Duration
@@ -71,7 +72,7 @@
         busy += peer.member
         http.call(peer.endpoint, Request(Method.POST, PeerWire.PATH, body), TIMEOUT) { reply ->
             busy -= peer.member
-            if (reply?.status == OK) deliveredAt[peer.member] = loop.now()
+            if (reply?.status == HttpStatus.OK) deliveredAt[peer.member] = loop.now()
         }
     }
 
@@ -113,7 +114,6 @@
         of(member) ?: indirect[member]?.takeIf { loop.now() < it.at + FRESH_INDIRECT }?.status
 
     companion object {
-        private const val OK = 200
         private const val MOST_SHORTENINGS = 8
         private const val SHORTENING = 0.75
 
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -117,7 +117,7 @@
     }
 
     fun reschedule(spec: JobSpec) {
-        if (spec !== this.spec) this.spec = spec
+        this.spec = spec
     }
 
     fun stopFor(reason: StopReason) {
--- a/src/main/kotlin/copperglade/coordination/WorkerCommands.kt
+++ b/src/main/kotlin/copperglade/coordination/WorkerCommands.kt
@@ -5,6 +5,7 @@
 import copperglade.protocol.Moment
 import copperglade.protocol.Report
 import copperglade.protocol.WorkerWire
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -100,7 +101,7 @@
 
     private fun replied(machine: Machine, reply: Reply?, starts: List<UnresolvedStart>, sentAt: Moment) {
         if (reply == null) return
-        if (reply.status == OK || reply.status == CONFLICT) unresolved.resolve(machine, starts)
+        if (reply.status == HttpStatus.OK || reply.status == HttpStatus.CONFLICT) unresolved.resolve(machine, starts)
         val report = WorkerWire.parseReport(reply.body)
         if (report != null && report.machine == machine.name) {
             if (report.fencingToken > state.token) {
@@ -114,8 +115,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val CONFLICT = 409
         const val REPORTS_PER_REMOVAL = 2.0
         val COMMAND_TIMEOUT = 1500.milliseconds
 
--- a/src/main/kotlin/copperglade/storage/DependencyGraph.kt
+++ b/src/main/kotlin/copperglade/storage/DependencyGraph.kt
@@ -94,7 +94,7 @@
         val job = jobs[id]?.takeIf { it.live != null } ?: return endedOutcome(id)
         return when {
             job.complete -> DependencyOutcome.DONE
-            isSurelyMarked(job) || isDerivedAborted(job) -> DependencyOutcome.ABORTED
+            isSurelyMarked(job) || job.abortedByDependency -> DependencyOutcome.ABORTED
             else -> DependencyOutcome.OPEN
         }
     }
@@ -107,8 +107,6 @@
 
     private fun isSurelyMarked(job: Job): Boolean = job.live?.value?.cancelled ?: false && !job.markedAfter(knownUpTo())
 
-    private fun isDerivedAborted(job: Job): Boolean = job.id in dependenciesOf && job.dependencyState == DependencyState.ABORTED
-
     /** Takes in that the records of [touched] have changed; returns the jobs for which something else follows now. */
     fun update(touched: Collection<JobId>): Set<JobId> {
         val relevant = touched.filter { it in dependentsOf || it in dependenciesOf || hasDependencies(it) }
--- a/src/main/kotlin/copperglade/storage/Job.kt
+++ b/src/main/kotlin/copperglade/storage/Job.kt
@@ -72,8 +72,10 @@
     val complete: Boolean get() = spec?.let { it.tasks == done.cardinality() } ?: false
 
     /** By its own mark, or because a dependency was cancelled. */
-    val cancelled: Boolean get() = live?.value?.cancelled ?: false ||
-        (dependencies.isNotEmpty() && dependencyState == DependencyState.ABORTED)
+    val cancelled: Boolean get() = live?.value?.cancelled ?: false || abortedByDependency
+
+    /** Whether a job that it needs was cancelled. */
+    val abortedByDependency: Boolean get() = dependencies.isNotEmpty() && dependencyState == DependencyState.ABORTED
 
     /** The end of waiting for dependencies. Only [DependencyGraph] says so. */
     fun dependenciesEnded(next: DependencyState, releasedAtMs: Long?) {
--- a/src/main/kotlin/copperglade/storage/StateClient.kt
+++ b/src/main/kotlin/copperglade/storage/StateClient.kt
@@ -13,6 +13,7 @@
 import copperglade.protocol.text
 import copperglade.transport.EventLoop
 import copperglade.transport.HttpCaller
+import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Reply
 import copperglade.transport.Request
@@ -141,16 +142,16 @@
 
     private fun outcomeOf(reply: Reply?): TransactionOutcome = when (reply?.status) {
         null -> TransactionOutcome.Unknown
-        OK -> Json.read(reply.body)?.long("ledger")?.let { TransactionOutcome.Applied(Stamp(it)) }
+        HttpStatus.OK -> Json.read(reply.body)?.long("ledger")?.let { TransactionOutcome.Applied(Stamp(it)) }
             ?: TransactionOutcome.Unknown
-        CONFLICT -> TransactionOutcome.Conflict(
+        HttpStatus.CONFLICT -> TransactionOutcome.Conflict(
             Json
                 .read(reply.body)
                 ?.get("failed")
                 ?.map { it.asText() }
                 .orEmpty(),
         )
-        BAD_REQUEST -> {
+        HttpStatus.BAD_REQUEST -> {
             val problem = Json.read(reply.body)?.text("error").orEmpty()
             if (problem.contains(NO_SUCH_LEASE, ignoreCase = true)) {
                 TransactionOutcome.NoSuchLease
@@ -159,7 +160,7 @@
                 TransactionOutcome.Refused
             }
         }
-        TOO_MANY, UNAVAILABLE -> TransactionOutcome.Refused
+        HttpStatus.TOO_MANY, HttpStatus.UNAVAILABLE -> TransactionOutcome.Refused
         else -> {
             log.warn("unexpected status {} for a transaction", reply.status)
             TransactionOutcome.Unknown
@@ -183,13 +184,13 @@
             return
         }
         request(Request(Method.GET, "/kv/$key"), TIMEOUT, counted = true) { reply ->
-            val node = reply?.takeIf { it.status == OK }?.let { Json.read(it.body) }
+            val node = reply?.takeIf { it.status == HttpStatus.OK }?.let { Json.read(it.body) }
             val value = node?.get("data")
             val stamp = node?.long("stamp")
             done(
                 when {
                     value != null && stamp != null -> ReadOutcome.Present(value, Stamp(stamp))
-                    reply?.status == NOT_FOUND -> ReadOutcome.Absent
+                    reply?.status == HttpStatus.NOT_FOUND -> ReadOutcome.Absent
                     else -> ReadOutcome.Failed
                 },
             )
@@ -199,7 +200,7 @@
     fun list(prefix: String, from: String?, done: (Listing?) -> Unit) {
         val after = if (from == null) "" else "&from=$from"
         request(Request(Method.GET, "/kv?starts=$prefix$after&limit=$LIST_LIMIT"), LIST_TIMEOUT) { reply ->
-            val node = reply?.takeIf { it.status == OK }?.let { Json.read(it.body) }
+            val node = reply?.takeIf { it.status == HttpStatus.OK }?.let { Json.read(it.body) }
             val ledger = node?.long("ledger")
             val entries = node?.get("entries")?.mapNotNull { entry ->
                 val key = entry.text("k")
@@ -225,8 +226,8 @@
         request(Request(Method.GET, path), TIMEOUT + wait) { reply ->
             done(
                 when (reply?.status) {
-                    OK -> decodeChanges(Json.read(reply.body))
-                    GONE -> ChangesOutcome.TooOld
+                    HttpStatus.OK -> decodeChanges(Json.read(reply.body))
+                    HttpStatus.GONE -> ChangesOutcome.TooOld
                     else -> ChangesOutcome.Failed
                 },
             )
@@ -248,7 +249,7 @@
     fun openLease(length: Duration, done: (LeaseOutcome) -> Unit) {
         val body = Json.write { obj { writeNumberField("ttlMs", length.inWholeMilliseconds) } }
         request(Request(Method.POST, "/holds", body), TIMEOUT) { reply ->
-            val leaseId = reply?.takeIf { it.status == OK }?.let { Json.read(it.body)?.long("permit") }
+            val leaseId = reply?.takeIf { it.status == HttpStatus.OK }?.let { Json.read(it.body)?.long("permit") }
             done(if (leaseId == null) LeaseOutcome.Failed else LeaseOutcome.Granted(LeaseId(leaseId)))
         }
     }
@@ -257,8 +258,8 @@
         request(Request(Method.POST, "/holds/$leaseId/extend"), TIMEOUT) { reply ->
             done(
                 when (reply?.status) {
-                    OK -> LeaseOutcome.Extended
-                    NOT_FOUND -> LeaseOutcome.Gone
+                    HttpStatus.OK -> LeaseOutcome.Extended
+                    HttpStatus.NOT_FOUND -> LeaseOutcome.Gone
                     else -> LeaseOutcome.Failed
                 },
             )
@@ -270,8 +271,8 @@
     private fun request(request: Request, timeout: Duration, counted: Boolean = false, done: (Reply?) -> Unit) {
         if (!counted) requests.take(1, loop.now())
         http.call(endpoint, request, timeout) { reply ->
-            if (reply != null && reply.status != UNAVAILABLE) lastGood = loop.now()
-            if (reply?.status == TOO_MANY) log.info("over the state service's budget")
+            if (reply != null && reply.status != HttpStatus.UNAVAILABLE) lastGood = loop.now()
+            if (reply?.status == HttpStatus.TOO_MANY) log.info("over the state service's budget")
             done(reply)
         }
     }
@@ -305,15 +306,8 @@
     }
 
     companion object {
-        private const val OK = 200
-        private const val BAD_REQUEST = 400
-        private const val NOT_FOUND = 404
-        private const val CONFLICT = 409
-        private const val GONE = 410
-        private const val TOO_MANY = 429
         private const val NO_SUCH_LEASE = "no such lease"
         private val MALFORMED_REPORT_PACE = 10.seconds
-        private const val UNAVAILABLE = 503
         private const val BURST_S = 0.8
         private const val DEMAND_S = 2.0
         private const val KEPT_FOR_URGENT = 0.2
--- a/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -95,7 +95,8 @@
     /** A body over the limit gets a plain 400, and the connection ends. */
     private inner class BoundedAggregator : HttpObjectAggregator(longestBody) {
         override fun handleOversizedMessage(context: ChannelHandlerContext, oversized: HttpMessage) {
-            val response = response(Reply(BAD_REQUEST, UserWire.error("body over ${longestBody / KIB} KiB", "body")), keep = false)
+            val response =
+                response(Reply(HttpStatus.BAD_REQUEST, UserWire.error("body over ${longestBody / KIB} KiB", "body")), keep = false)
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
         }
     }
@@ -105,11 +106,15 @@
             val keep = HttpUtil.isKeepAlive(message)
             idleSince.remove(context.channel())
             if (message.decoderResult().isFailure) {
-                answer(context.channel(), Reply(BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
+                answer(context.channel(), Reply(HttpStatus.BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
                 return
             }
             if (refused) {
-                answer(context.channel(), Reply(UNAVAILABLE, UserWire.error("too many connections"), retryAfterS = 1), keep = false)
+                answer(
+                    context.channel(),
+                    Reply(HttpStatus.UNAVAILABLE, UserWire.error("too many connections"), retryAfterS = 1),
+                    keep = false,
+                )
                 return
             }
             val method = when (message.method()) {
@@ -123,7 +128,7 @@
                 handler.handle(request) { answer(context.channel(), it, keep) }
             } catch (fault: RuntimeException) {
                 log.error("fault while answering {} {}", method, request.path, fault)
-                answer(context.channel(), Reply(UNAVAILABLE), keep = false)
+                answer(context.channel(), Reply(HttpStatus.UNAVAILABLE), keep = false)
             }
         }
 
@@ -160,8 +165,6 @@
 
         /** A connection that has just been answered may bring its next request at once. */
         private const val SHORTEST_IDLE_NANOS = 300_000_000L
-        private const val BAD_REQUEST = 400
-        private const val UNAVAILABLE = 503
         private val log = LoggerFactory.getLogger("http.server")
 
         private fun response(reply: Reply, keep: Boolean): DefaultFullHttpResponse {
