Runs by page of their job's records; the log tells what a block's turn is spent on

Each flush of outcomes walked all runs of a job for each of its pages: with an array of 20,000 tasks, a page has 256 of them.

--- a/src/main/kotlin/copperglade/coordination/BlockOwner.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockOwner.kt
@@ -9,6 +9,7 @@
 import copperglade.protocol.Report
 import copperglade.storage.ImageRecord
 import copperglade.storage.Job
+import copperglade.storage.JobPage
 import copperglade.storage.StateClient
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -85,8 +86,8 @@
     /** The job is over, or nothing is known of it any more. */
     fun drop(job: JobId) = reconciler.drop(job)
 
-    /** The runs of a job's tasks in this block. */
-    fun runsOf(job: JobId): Collection<Run> = state.runs.of(job)
+    /** The runs of this block's tasks on one page of a job's records. */
+    fun runsOf(place: JobPage): Collection<Run> = state.runs.of(place)
 
     /**
      * Takes a worker's own report and answers it; null where it must not be answered with 200. The caller has checked
@@ -107,22 +108,25 @@
 
     /**
      * Does what is due by now, always in this order: outcomes are recorded, waiting runs placed, machines dropped whose lease
-     * is over, missing tasks released, stragglers restarted, and commands sent that are due again.
+     * is over, missing tasks released, commands sent that are due again, and stragglers restarted.
      */
     fun tick() {
         if (!open) return
-        outcomes.flush()
+        val workload = context.workload
+        workload.measure("blocks: outcomes") { outcomes.flush() }
         val now = context.loop.now()
-        placement.place(now)
+        workload.measure("blocks: placement") { placement.place(now) }
         if (now < nextSweep) return
-        // Whatever a report or a record changes is seen to at once; the sweep finds what only time has changed.
         nextSweep = now + SWEEP_PACE
+        workload.measure("blocks: sweep") { sweep(now) }
+        if (context.membership.mayAct) workload.measure("blocks: stragglers") { stragglers.restartWorthwhile(now) }
+    }
+
+    /** Whatever a report or a record changes is seen to at once; the sweep finds what only time has changed. */
+    private fun sweep(now: Moment) {
         tracker.dropExpired(now)
         reconciler.releaseMissing(now)
-        if (context.membership.mayAct) {
-            stragglers.restartWorthwhile(now)
-            machines.values.toList().forEach(commands::settle)
-        }
+        if (context.membership.mayAct) machines.values.toList().forEach(commands::settle)
     }
 
     /** Drops a machine that the cloud has deleted. */
--- a/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
+++ b/src/main/kotlin/copperglade/coordination/OutcomeLog.kt
@@ -86,9 +86,7 @@
 
     private fun ownership() = Condition(Keys.block(owner.name), Stamp(owner.fencingToken.number))
 
-    private fun moreToCome(place: JobPage): Boolean = owner.runsOf(place.job).any {
-        it.task.index / Keys.PAGE_TASKS == place.page && it.state != RunState.DONE && it.state != RunState.GONE
-    }
+    private fun moreToCome(place: JobPage): Boolean = owner.runsOf(place).any { it.state != RunState.DONE && it.state != RunState.GONE }
 
     private fun write(packedWrite: PackedWrite) {
         val conditions = LinkedHashSet<Condition>()
@@ -126,9 +124,8 @@
         val returned = HashMap<Int, BitSet>()
         present.returned.forEach { (generation, tasks) -> returned[generation] = tasks.clone() as BitSet }
         var changed = false
-        for (run in owner.runsOf(job.id)) {
+        for (run in owner.runsOf(JobPage(job.id, page))) {
             val index = run.task.index
-            if (index / Keys.PAGE_TASKS != page) continue
             val gone = run.state == RunState.GONE || (run.state == RunState.DONE && job.cancelled)
             if (run.state == RunState.DONE && !gone) {
                 changed = changed || !done.get(index)
--- a/src/main/kotlin/copperglade/coordination/RunReconciler.kt
+++ b/src/main/kotlin/copperglade/coordination/RunReconciler.kt
@@ -62,7 +62,7 @@
 
     /** The job is over, or nothing is known of it any more. */
     fun drop(job: JobId) {
-        runs.of(job).toList().forEach(::forget)
+        runs.of(job).forEach(::forget)
         backoff.forget(job)
     }
 
--- a/src/main/kotlin/copperglade/coordination/RunTable.kt
+++ b/src/main/kotlin/copperglade/coordination/RunTable.kt
@@ -2,13 +2,16 @@
 
 import copperglade.protocol.JobId
 import copperglade.protocol.TaskId
+import copperglade.storage.JobPage
+import copperglade.storage.Keys
 
 /**
  * The runs of a block, by task and, where that is asked for all the time, by state. With hundreds of runs on a hundred
  * machines, looking through all of them ten times a second for the few that wait was a tenth of a fleet day's processor.
  */
 class RunTable {
-    private val byJob = HashMap<JobId, HashMap<Int, Run>>()
+    /** By job, then by page of its records, then by task. */
+    private val byJob = HashMap<JobId, HashMap<Int, HashMap<Int, Run>>>()
     private val waitingRuns = LinkedHashSet<Run>()
     private val missingRuns = LinkedHashSet<Run>()
 
@@ -16,25 +19,33 @@
     val waiting: List<Run> get() = waitingRuns.toList()
     val missing: List<Run> get() = missingRuns.toList()
 
-    operator fun get(task: TaskId): Run? = byJob[task.job]?.get(task.index)
+    operator fun get(task: TaskId): Run? = byJob[task.job]?.get(pageOf(task))?.get(task.index)
 
-    fun of(job: JobId): Collection<Run> = byJob[job]?.values.orEmpty()
+    fun of(job: JobId): List<Run> = byJob[job]?.values.orEmpty().flatMap { it.values }
+
+    /** The runs of the tasks on one page of a job's records: outcomes are written page by page. */
+    fun of(place: JobPage): Collection<Run> = byJob[place.job]?.get(place.page)?.values.orEmpty()
 
     fun add(run: Run) {
-        byJob.getOrPut(run.task.job) { HashMap() }.put(run.task.index, run)?.let(::unlist)
+        val pages = byJob.getOrPut(run.task.job) { HashMap() }
+        pages.getOrPut(pageOf(run.task)) { HashMap() }.put(run.task.index, run)?.let(::unlist)
         enlist(run)
     }
 
     fun remove(run: Run) {
         unlist(run)
-        val its = byJob[run.task.job] ?: return
-        its.remove(run.task.index)
-        if (its.isEmpty()) byJob.remove(run.task.job)
+        val pages = byJob[run.task.job] ?: return
+        val page = pages[pageOf(run.task)] ?: return
+        page.remove(run.task.index)
+        if (page.isEmpty()) pages.remove(pageOf(run.task))
+        if (pages.isEmpty()) byJob.remove(run.task.job)
     }
 
+    private fun pageOf(task: TaskId) = task.index / Keys.PAGE_TASKS
+
     /** To be told of every change of a run's state. */
     fun moved(run: Run) {
-        if (byJob[run.task.job]?.get(run.task.index) !== run) return
+        if (get(run.task) !== run) return
         unlist(run)
         enlist(run)
     }
--- a/src/test/kotlin/copperglade/coordination/RunTableTest.kt
+++ b/src/test/kotlin/copperglade/coordination/RunTableTest.kt
@@ -4,6 +4,8 @@
 import copperglade.protocol.Moment
 import copperglade.protocol.TaskId
 import copperglade.sim.SimSite
+import copperglade.storage.JobPage
+import copperglade.storage.Keys
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -17,12 +19,12 @@
         val table = RunTable()
         val all = HashMap<TaskId, Run>()
         repeat(2000) {
-            val task = TaskId(JobId("job-${random.nextInt(5)}"), random.nextInt(8))
+            val task = TaskId(JobId("job-${random.nextInt(5)}"), random.nextInt(4) * 150)
             val now = Moment(it.toLong())
             when (random.nextInt(4)) {
                 0 -> {
                     val first = if (random.nextBoolean()) RunState.WAITING else RunState.MISSING
-                    val run = Run(task, SimSite.job(1, tasks = 8), it, 0, first, now, table::moved)
+                    val run = Run(task, SimSite.job(1, tasks = 600), it, 0, first, now, table::moved)
                     all[task] = run
                     table.add(run)
                 }
@@ -32,6 +34,9 @@
             assertEquals(all.values.filterTo(HashSet()) { run -> run.state == RunState.WAITING }, table.waiting.toSet())
             assertEquals(all.values.filterTo(HashSet()) { run -> run.state == RunState.MISSING }, table.missing.toSet())
             assertEquals(all.values.filterTo(HashSet()) { run -> run.task.job == task.job }, table.of(task.job).toSet())
+            val place = JobPage(task.job, task.index / Keys.PAGE_TASKS)
+            val onPage = all.values.filterTo(HashSet()) { run -> JobPage(run.task.job, run.task.index / Keys.PAGE_TASKS) == place }
+            assertEquals(onPage, table.of(place).toSet())
             assertEquals(all[task], table[task])
         }
     }
