--- a/src/main/kotlin/copperglade/app/Main.kt
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -53,31 +53,23 @@
     companion object {
         /** Starts a controller in this process; it goes on by itself. */
         fun run(settings: PlatformSettings, tuning: Tuning) {
+            val shares = SocketShares.of(settings.socketLimit, settings.peers.size)
             val loop = NettyEventLoop()
             val always = settings.peers.mapTo(hashSetOf(settings.state, settings.cloud)) { it.endpoint }
-            val caller = NettyHttpCaller(loop.group, settings.socketLimit * WORKERS_PERCENT / 100, always)
+            val caller = NettyHttpCaller(loop.group, shares.workers, always)
             val controller = Controller(loop, caller, settings, tuning)
-            NettyHttpServer(loop.group, settings.socketLimit * USERS_PERCENT / 100, handler = controller.clientHandler)
+            NettyHttpServer(loop.group, shares.users, handler = controller.clientHandler)
                 .listen(settings.clientListen)
-            NettyHttpServer(loop.group, settings.socketLimit * PEERS_PERCENT / 100, LONGEST_PEER_MESSAGE, controller.clusterHandler)
+            NettyHttpServer(loop.group, shares.peers, LONGEST_PEER_MESSAGE, controller.clusterHandler)
                 .listen(settings.clusterListen)
             loop.after(Duration.ZERO) { controller.start() }
         }
 
-        /**
-         * Of the sockets, by who is at the other end: users and workers that call us, the other controllers, workers that we
-         * call. What is left is for files, the state service and the cloud. A single controller that is left may have all
-         * workers on both sides.
-         */
-        private const val USERS_PERCENT = 52
-
         /**
          * A controller's status tells of each of its machines in some 150 bytes. With the 64 KiB of the protocol with users and
          * workers, the leader would refuse it from some 450 machines a controller on, and nothing more would be placed there.
          */
         const val LONGEST_PEER_MESSAGE = 16 * 1024 * 1024
-        private const val PEERS_PERCENT = 4
-        private const val WORKERS_PERCENT = 34
     }
 }
 
