Preemption: what is stopped for one run is not reckoned with for another

Cause: a run that waits for room planned with every task that was already stopping, also those that were being stopped for others. So of all tasks that waited in a block, one after the other got its room, each after the time that the stopped ones take to save.

--- a/src/main/kotlin/copperglade/coordination/Placer.kt
+++ b/src/main/kotlin/copperglade/coordination/Placer.kt
@@ -8,7 +8,6 @@
 import copperglade.protocol.Priority
 import copperglade.protocol.Resources
 import copperglade.protocol.TaskId
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Finds machines of a block for its waiting runs, and says what lower work has to make room. */
@@ -27,7 +26,7 @@
         /** What stopping array tasks would free, by their priority; worked out once a round, for machines that are asked for it. */
         private val yielding: Array<Resources> by lazy(LazyThreadSafetyMode.NONE) {
             val byPriority = Array(Priority.entries.size) { Resources.ZERO }
-            for (run in machine.runs) if (mayYield(run)) byPriority[run.spec.priority.ordinal] += run.spec.request
+            for (run in machine.runs) if (mayYield(run) && !run.isPledged) byPriority[run.spec.priority.ordinal] += run.spec.request
             byPriority
         }
 
@@ -60,11 +59,8 @@
                 continue
             }
             // What was stopped for it is on its way out, which takes a while where that is saved.
-            if (now < run.preemptsUntil) continue
-            if (mayPreempt(run) && preemptFor(run, rooms)) {
-                run.preemptsUntil = now + PREEMPTION_PAUSE
-                continue
-            }
+            if (run.awaitsVictims) continue
+            if (mayPreempt(run) && preemptFor(run, rooms)) continue
             // Room gathers for it on one machine, or smaller tasks would take every piece that comes free.
             if (keptFor.add(run.task.job)) {
                 rooms.filter { allowed(run.spec, it.machine) }.maxByOrNull { it.free.cpus }?.free = Resources.ZERO
@@ -107,6 +103,7 @@
             .take(MOST_PLANS)
             .mapNotNull { (room, cost) -> victims(run, room)?.let { Plan(cost, it) } }
             .minWithOrNull(compareBy({ it.cost }, { it.victims.size })) ?: return false
+        run.preempts(plan.victims)
         plan.victims.forEach(stop)
         return true
     }
@@ -118,7 +115,7 @@
         var free = room.free
         val chosen = ArrayList<Run>()
         val candidates = room.machine.runs
-            .filter { mayYield(it) && it.spec.priority > run.spec.priority }
+            .filter { mayYield(it) && !it.isPledged && it.spec.priority > run.spec.priority }
             .sortedWith(
                 compareBy<Run> { if (it.state == RunState.STOPPING) 0 else 1 }
                     .thenByDescending { it.spec.priority }
@@ -134,7 +131,6 @@
 
     private companion object {
         val PATIENCE = 2.seconds
-        val PREEMPTION_PAUSE = 500.milliseconds
         const val MOST_PLANS = 16
 
         /** Services are never stopped for others. */
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -66,8 +66,23 @@
     var notBefore = Moment.NEVER
     val avoid = HashSet<MachineName>()
 
-    /** Until when nothing more is stopped to make room for it. */
-    var preemptsUntil = Moment.NEVER
+    private var victims: List<Run> = emptyList()
+    private var yieldsTo: Run? = null
+
+    /** Whether something that was stopped to make room for it has not left its machine yet. */
+    val awaitsVictims: Boolean get() = victims.any { it.state == RunState.STOPPING }
+
+    /**
+     * Whether it is being stopped for another run that still waits. Were it reckoned with for a second one, a block's tasks would
+     * be stopped one after the other, each for all that wait.
+     */
+    val isPledged: Boolean get() = yieldsTo?.state == RunState.WAITING
+
+    /** Takes note that [victims] are stopped to make room for it. */
+    fun preempts(victims: List<Run>) {
+        this.victims = victims
+        victims.forEach { it.yieldsTo = this }
+    }
 
     /** How often the task has failed here. */
     var failures = 0
@@ -100,6 +115,8 @@
         machine = to
         attempt = nextAttempt
         to.attach(this)
+        victims = emptyList()
+        yieldsTo = null
         wasReported = false
         runningSince = null
         startSentAt = Moment.NEVER
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/PreemptionTest.kt
@@ -0,0 +1,26 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+
+/** More important work stops lower work that takes a while to save. */
+class PreemptionTest {
+    @ParameterizedTest
+    @ValueSource(longs = [2701, 2702, 2703])
+    fun `tasks that wait for lower work to save wait together, not one after the other`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 2, teamCpus = 200.0, guaranteedCpus = 200.0))
+        site.submit(SimSite.job(1, tasks = 32, cpus = 4.0, etaS = 300.0, saveS = SAVE_S, priority = "best_effort")) { 300.0 }
+        site.await(60.0) { site.runningTasks().size == 32 }
+        site.submit(SimSite.job(2, tasks = 24, cpus = 4.0, priority = "normal")) { 30.0 }
+        site.await(4 * SAVE_S) { site.runningTasks().keys.count { it.job == JobId("job-2") } >= 20 }
+        site.run(40.0)
+        assertTrue(site.users.getValue(JobId("job-2")).told == "done")
+        site.assertKept(900.0)
+    }
+
+    private companion object {
+        const val SAVE_S = 4.0
+    }
+}
