--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/MeetingSteps.kt
@@ -0,0 +1,50 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import copperglade.standin.StandInWorker
+import copperglade.storage.Keys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+// Steps that the tests of two troubles at once share.
+
+internal fun id(number: Int) = JobId("job-$number")
+
+/** Long arrays from `job-1` on, all at once. */
+internal fun longArrays(site: SimSite, jobs: Int = 8, tasks: Int = 4, workS: Double = 90.0) =
+    repeat(jobs) { site.submit(SimSite.job(it + 1, tasks = tasks, cpus = 8.0, etaS = workS)) { workS } }
+
+/** Room for sixteen machines, so that every controller owns some. */
+internal fun wide(seed: Long, teamCpus: Double = 250.0, nodes: Int = 3) =
+    SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = teamCpus), nodes = nodes)
+
+internal fun runningOf(site: SimSite, jobs: Collection<JobId>) = site.runningTasks().keys.count { it.job in jobs }
+
+/** Cancels [jobs], and shows that some of it was confirmed within [withinS]. */
+internal fun cancelAndConfirm(site: SimSite, jobs: List<JobId>, withinS: Double): List<JobId> {
+    val before = site.confirmedCancellations
+    jobs.forEach(site::cancel)
+    site.run(withinS)
+    assertTrue(site.confirmedCancellations > before, "no cancellation was confirmed")
+    return jobs.filter { site.users.getValue(it).cancelledAt != null }
+}
+
+/** Jobs that have tasks on machines whose workers report to [node]. */
+internal fun onMachinesOf(site: SimSite, node: Int): List<JobId> = site
+    .runningTasks()
+    .filterValues { site.ownerOf(it.name) == node }
+    .keys
+    .map { it.job }
+    .distinct()
+
+/** The machines on which tasks of [jobs] run. */
+internal fun machinesOf(site: SimSite, jobs: Collection<JobId>): Set<StandInWorker> =
+    site
+        .runningTasks()
+        .filterKeys { it.job in jobs }
+        .values
+        .toSet()
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/MessageMeetingsTest.kt
@@ -0,0 +1,266 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import copperglade.storage.Keys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/** Two troubles at once: messages, answers and reports that are held up, lost or late, and machines that can't be reached. */
+class MessageMeetingsTest {
+    @ParameterizedTest
+    @ValueSource(longs = [271, 272, 273, 274])
+    fun `commands and their answers are held up for seconds, and machines hang and go on`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        val random = site.sim.random
+        site.services(3)
+        site.arrays(16)
+        site.run(18.0)
+        site.network.delayMs = { if (it.path == "/do" && random.nextInt(4) == 0) 1500.0 + random.nextInt(9000) else 0.0 }
+        repeat(8) { turn ->
+            site.hang(random.nextInt(4))?.let { worker -> site.sim.after(2000.0 + random.nextInt(9000)) { worker.resume() } }
+            site.cancel(id(2 + turn * 2))
+            site.run(6.0)
+        }
+        assertTrue(site.network.delayed > 20, "${site.network.delayed} held up")
+        assertTrue(site.confirmedCancellations > 0)
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [281, 282, 283, 284])
+    fun `a leader is left with workers and users while jobs are cancelled through the next one`(seed: Long) {
+        val site = wide(seed, nodes = if (seed % 2 == 0L) 5 else 3)
+        longArrays(site, jobs = 10, tasks = 3)
+        site.run(30.0)
+        val former = site.leader()!!
+        site.isolateController(former)
+        site.await(20.0) { site.leader().let { it != null && it != former } }
+        val confirmed = cancelAndConfirm(site, (1..5).map(::id), withinS = 4.0)
+        site.run(SimSite.CANCEL_S + 5.0)
+        assertTrue(site.leader() != former)
+        assertEquals(0, runningOf(site, confirmed))
+        site.assertKept(200.0)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [291, 292, 293, 294])
+    fun `a team is at its limit when the leader changes, some machines can't be asked, and a job is cancelled`(seed: Long) {
+        val site = wide(seed, teamCpus = 100.0)
+        longArrays(site, jobs = 10, tasks = 4, workS = 40.0)
+        site.run(25.0)
+        assertEquals(12, site.runningTasks().size, "the team is to be at its limit")
+        val busy = site.runningTasks().entries.first()
+        site.cutMachine(site.workerNames().indexOf(busy.value.name))
+        site.crash(site.leader()!!, 2500.0)
+        site.run(0.5)
+        cancelAndConfirm(site, listOf(busy.key.job), withinS = 9.0)
+        site.run(SimSite.LEASE_S + 8.0)
+        site.assertKept(240.0)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [301, 302, 303, 304])
+    fun `old reports arrive after newer ones, also of earlier sessions and attempts`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        site.network.copyOneIn = 2
+        site.network.latestCopyMs = (SimSite.LEASE_S * 2500).toInt()
+        site.services(4)
+        site.arrays(14)
+        site.run(20.0)
+        repeat(4) { turn ->
+            // Its lease runs out: reports of the session before are still on their way.
+            site.cutMachine(turn % 3)
+            site.run(SimSite.LEASE_S + 3.0)
+            site.heal()
+            if (turn == 1) site.leader()?.let { site.crash(it, 200.0) }
+            site.run(5.0)
+        }
+        assertTrue(site.network.copiesDelivered > 50)
+        assertTrue(site.leasesOrMachinesLost > 0, "no lease ran out")
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [311, 312, 313, 314, 315, 316])
+    fun `cancellations, questions and repeats meet the end of a job's last task`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        site.knowsAtOnce = true
+        val random = site.sim.random
+        var met = 0
+        site.whenComplete = { user ->
+            repeat(3) {
+                site.sim.after(random.nextInt(250).toDouble()) {
+                    met++
+                    when (random.nextInt(3)) {
+                        0 -> site.cancel(user.spec.id)
+                        1 -> site.repeat(user)
+                        else -> site.poll(user.spec.id)
+                    }
+                }
+            }
+        }
+        repeat(40) { number -> site.sim.after(number * 1100.0) { site.submit(SimSite.job(number + 1, tasks = 1 + number % 4)) { 3.0 } } }
+        site.run(80.0)
+        assertTrue(met >= 100, "$met met an end")
+        assertTrue(site.users.values.any { it.cancelAskedAt != null && it.told == "done" })
+        assertTrue(site.users.values.any { it.cancelAskedAt != null && it.told == "aborted" })
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [321, 322, 323, 324])
+    fun `workers reach no controller while direct commands reach them`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = 200.0))
+        site.services(6)
+        site.arrays(16)
+        site.run(30.0)
+        val muted = site.workerNames().filterIndexed { index, _ -> index % 3 == 0 }
+        site.mute(muted)
+        site.run(4.0)
+        (1..4).forEach { site.cancel(id(it * 3)) }
+        site.run(SimSite.LEASE_S + 8.0)
+        assertTrue(site.network.lost > 3)
+        assertTrue(site.leasesOrMachinesLost > 0, "no lease ran out")
+        site.run(15.0)
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [331, 332, 333, 334])
+    fun `answers and commands to machines are lost while their reports arrive, and jobs are cancelled`(seed: Long) {
+        val site = wide(seed)
+        site.services(6)
+        longArrays(site, jobs = 8, tasks = 3)
+        site.run(30.0)
+        val cancelled = (1..5).map(::id)
+        val unresponsive = machinesOf(site, cancelled).map { it.name }
+        assertTrue(unresponsive.isNotEmpty())
+        site.loseCommandsTo(unresponsive)
+        val confirmed = cancelAndConfirm(site, cancelled, withinS = 4.0)
+        site.run(SimSite.CANCEL_S)
+        assertTrue(site.network.lost > 10)
+        assertEquals(0, runningOf(site, confirmed))
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [341, 342, 343, 344])
+    fun `a report is held back until a new leader has acted, and then arrives there`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        site.services(4)
+        site.arrays(14)
+        site.run(24.0)
+        val before = site.state.text(Keys.LEADER)
+        // Only what workers send is held back; it is delivered to whoever has the address by then.
+        site.holdReports(site.workerNames().take(3))
+        site.run(1.5)
+        (0 until site.nodes).forEach { site.crash(it, 150.0 + it * 400.0) }
+        site.run(4.0 + site.sim.random.nextInt(5))
+        assertTrue(site.state.text(Keys.LEADER) != before && site.leader() != null, "no new leader")
+        site.heal()
+        site.run(20.0)
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [351, 352, 353, 354])
+    fun `controllers hand over and back, all end, and one returns, also within a second`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        val random = site.sim.random
+        site.services(4)
+        site.arrays(16)
+        site.run(20.0)
+        repeat(4) {
+            val leader = site.leader() ?: 0
+            site.crash(leader, 250.0 + random.nextInt(600))
+            site.run(2.0 + random.nextInt(3))
+            (0 until site.nodes).forEach { node -> site.crash(node, if (node == leader) 300.0 else 4000.0 + random.nextInt(9000)) }
+            site.run(0.9)
+            site.crash(leader, 200.0)
+            site.run(14.0)
+        }
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [361, 362])
+    fun `there is more work than room, urgent and not, over slow links`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 1, teamCpus = 500.0))
+        site.network.delayMs = { 40.0 + site.sim.random.nextInt(260) }
+        repeat(50) { number ->
+            site.sim.after(number * 1500.0) {
+                site.submit(SimSite.job(number + 1, tasks = if (number % 10 == 9) 60 else 8)) { 6.0 }
+            }
+        }
+        repeat(10) { number ->
+            site.sim.after(5000.0 + number * 6000.0) {
+                site.submit(SimSite.job(500 + number, tasks = 2, service = true, spot = false)) { null }
+                site.sim.after(60_000.0) { site.cancel(id(500 + number)) }
+            }
+        }
+        site.run(90.0)
+        assertTrue(site.network.delayed > 1000)
+        val waiting = site.users.values.sumOf { it.spec.tasks } - site.completions - site.runningTasks().size
+        assertTrue(waiting > 100, "$waiting tasks wait")
+        site.assertKept(260.0)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [371, 372, 373, 374])
+    fun `a leader ends while machines with long tasks can't be reached, or don't hear the next one's answer`(seed: Long) {
+        val site = wide(seed)
+        longArrays(site, jobs = 10, tasks = 4, workS = 60.0)
+        site.run(25.0)
+        val busy = site
+            .runningTasks()
+            .values
+            .map { it.name }
+            .distinct()
+        assertTrue(busy.size >= 2, "$busy")
+        site.cutMachine(site.workerNames().indexOf(busy[0]))
+        site.loseCommandsTo(busy.drop(1).take(1))
+        site.crash(site.leader()!!, 2000.0)
+        site.run(0.5)
+        site.cancel(id(2))
+        site.run(SimSite.LEASE_S + 12.0)
+        assertTrue(site.network.lost > 0)
+        assertTrue(site.leasesOrMachinesLost > 0, "no lease ran out")
+        site.assertKept(200.0)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [381, 382, 383, 384])
+    fun `jobs are called off together while their machines hang`(seed: Long) {
+        val site = wide(seed)
+        longArrays(site, jobs = 10, tasks = 3)
+        site.run(28.0)
+        val cancelled = (1..6).map(::id)
+        val machines = machinesOf(site, cancelled)
+        machines.forEach { it.hanging = true }
+        val confirmed = cancelAndConfirm(site, cancelled, withinS = 2.0)
+        // Within the lease for some seeds, beyond it for others.
+        site.run(3.0 + 4.0 * (seed % 4))
+        machines.forEach { it.resume() }
+        site.run(SimSite.CANCEL_S)
+        assertEquals(0, runningOf(site, confirmed))
+        site.assertKept()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [391, 392])
+    fun `users send odd requests all the while, and controllers know at once of what is cancelled`(seed: Long) {
+        val site = SimSite(Simulation(seed))
+        site.knowsAtOnce = true
+        site.arrays(20, tasks = 4)
+        site.run(10.0)
+        repeat(150) { site.sim.after(it * 400.0) { site.oddRequest() } }
+        repeat(8) { site.sim.after(5000.0 + it * 5000.0) { site.cancel(id(2 + it * 2)) } }
+        site.run(70.0)
+        assertTrue(site.confirmedCancellations > 0)
+        site.assertKept()
+    }
+}
