Incident of broken rules: hypotheses and three failing tests that reproduce its symptoms

An owner starts whatever is assigned, so an assignment by a leader that ignores dependencies breaks too_early.

--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/EarlierLeaderTest.kt
@@ -0,0 +1,64 @@
+package copperglade.sim
+
+import copperglade.protocol.BlockName
+import copperglade.protocol.FencingToken
+import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
+import copperglade.protocol.Json
+import copperglade.protocol.long
+import copperglade.protocol.obj
+import copperglade.storage.AssignmentGroup
+import copperglade.storage.AssignmentPage
+import copperglade.storage.JobPage
+import copperglade.storage.Keys
+import copperglade.storage.RecordCodec
+import copperglade.transport.Method
+import copperglade.transport.Request
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.BitSet
+
+/** What an owner does with assignments that no leader of this version writes, as one that ignores dependencies would. */
+class EarlierLeaderTest {
+    private fun SimSite.stampOf(key: String): Long {
+        var stamp = 0L
+        state.handle(Request(Method.GET, "/kv/$key")) { stamp = Json.read(it.body)!!.long("stamp")!! }
+        return stamp
+    }
+
+    /** Assigns a task of [job] to each of the blocks there are, whatever the job waits for. */
+    private fun SimSite.assignEverywhere(job: JobId) {
+        val blocks = state.keys("${Keys.NOW}block/")
+        val groups = blocks.mapIndexed { task, key ->
+            val token = FencingToken(stampOf(key))
+            AssignmentGroup(BlockName(key.substringAfterLast('/')), token, 1, BitSet().also { it.set(task) })
+        }
+        val page = AssignmentPage(groups, BitSet(), 1, blocks.size, 1)
+        val record = RecordCodec.encodePackedRecord(mapOf(JobPage(job, 0) to RecordCodec.encode(page)))
+        val body = Json.write {
+            obj {
+                writeArrayFieldStart("writes")
+                obj {
+                    writeStringField("set", "${Keys.assignmentRecords(JobKind.ARRAY)}900")
+                    writeFieldName("data")
+                    writeRawValue(record.decodeToString())
+                }
+                writeEndArray()
+            }
+        }
+        state.handle(Request(Method.POST, "/multi", body)) { assertEquals(200, it.status) }
+    }
+
+    @Test
+    fun `a task that was assigned too early is not started before its job's dependencies are done`() {
+        val site = SimSite(Simulation(71))
+        site.submit(SimSite.job(1, tasks = 8, cpus = 1.0, etaS = 30.0)) { 30.0 }
+        site.submit(SimSite.job(2, tasks = 6, cpus = 1.0), listOf(JobId("job-1"))) { 3.0 }
+        site.await(40.0) { site.runningTasks().keys.any { it.job == JobId("job-1") } }
+        site.assignEverywhere(JobId("job-2"))
+        site.run(15.0)
+        assertTrue(site.users.getValue(JobId("job-1")).completedAt == null, "the first job was over too soon for this test")
+        site.assertKept()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/FaultsTest.kt
@@ -0,0 +1,100 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import java.util.stream.LongStream
+
+/**
+ * Decisions that end in a fault midway, as where memory runs out: at any point, in any controller, while jobs wait for each
+ * other and are cancelled. A controller that went on after that would act on records of which a part never reached the parts of it
+ * that decide.
+ */
+class FaultsTest {
+    /**
+     * A reading tells that one job is done and that another is cancelled; releasing what waited for the first ends in a fault. What waited
+     * for the second must be called cancelled in time all the same.
+     */
+    @ParameterizedTest
+    @MethodSource("releaseSeeds")
+    fun `no job is left behind where releasing another ends in a fault`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0), takesFaults = true)
+        val random = site.sim.random
+        var faults = 0
+        site.network.tamperAnswer = { passage, request, reply ->
+            val node = passage.to.substringAfter("lorry-", "").toIntOrNull()
+            val body = if (node != null && request.path.startsWith("/changes")) reply.body.decodeToString() else ""
+            if (node != null && "\"cancelled\":true" in body && "cg/now/work/" in body) {
+                faults++
+                site.injectFaultAtRelease(node)
+            }
+            reply
+        }
+        repeat(JOBS) { number ->
+            site.sim.after(number * 1_000.0) {
+                val before = if (number % 4 < 2) emptyList() else listOf(JobId("job-${number - 2}"))
+                val workS = if (number % 4 == 1) 60.0 else 5.0 + random.nextDouble() * 5
+                site.submit(SimSite.job(number, tasks = 1 + random.nextInt(3), etaS = 10.0), before) { workS }
+            }
+        }
+        // Each fourth job is cancelled at about the moment at which the end of the one before it is written down.
+        site.whenComplete = { ended ->
+            val number = ended.spec.id.text
+                .substringAfter('-')
+                .toInt()
+            if (number % 4 == 0) site.sim.after(random.nextInt(2_000).toDouble()) { site.cancel(JobId("job-${number + 1}")) }
+        }
+        site.run(80.0)
+        (1 until JOBS step 4).forEach { site.cancel(JobId("job-$it")) }
+        site.run(80.0)
+        site.network.tamperAnswer = { _, _, reply -> reply }
+        site.assertKept(240.0)
+    }
+
+    /** Jobs that fail on every machine are cancelled while their tasks wait for the next try, and that is taken in by halves. */
+    @ParameterizedTest
+    @MethodSource("retrySeeds")
+    fun `no task of a cancelled job is tried again after a fault`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0), takesFaults = true)
+        val random = site.sim.random
+        val faulty = HashSet<Int>()
+        site.fails = { task, _ -> task.job.isMistaken() }
+        site.network.tamperAnswer = { passage, request, reply ->
+            val node = passage.to.substringAfter("lorry-", "").toIntOrNull()
+            if (node != null && request.path.startsWith("/changes") && "\"cancelled\":true" in reply.body.decodeToString() &&
+                random.nextInt(FAULT_ONE_IN) == 0 && faulty.add(node)
+            ) {
+                site.injectFault(node, random.nextInt(READINGS_OF_A_SMALL_TURN))
+            }
+            reply
+        }
+        repeat(JOBS) { number ->
+            val tasks = if (JobId("job-$number").isMistaken()) 1 else 6
+            site.sim.after(number * 1_000.0) { site.submit(SimSite.job(number, tasks, etaS = 10.0)) { 10.0 } }
+        }
+        site.run(45.0)
+        // So that owners learn of cancellations by their readings alone.
+        site.cutPeers()
+        val cancelled = (0 until JOBS).map { JobId("job-$it") }.filter { it.isMistaken() }
+        cancelled.forEachIndexed { index, job -> site.sim.after(index * 4_000.0) { site.cancel(job) } }
+        site.run(60.0)
+        assertTrue(faulty.isNotEmpty() && site.confirmedCancellations > 0)
+        site.network.tamperAnswer = { _, _, reply -> reply }
+        site.assertKept(240.0)
+    }
+
+    private fun JobId.isMistaken() = text.substringAfter('-').toInt() % 5 == 2
+
+    private companion object {
+        const val JOBS = 40
+        const val READINGS_OF_A_SMALL_TURN = 5
+        const val FAULT_ONE_IN = 3
+
+        @JvmStatic
+        fun releaseSeeds(): LongStream = LongStream.range(7000, 7040)
+
+        @JvmStatic
+        fun retrySeeds(): LongStream = LongStream.range(7050, 7080)
+    }
+}
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -28,6 +28,7 @@
 import copperglade.storage.RecordCodec
 import copperglade.storage.StateLimits
 import copperglade.transport.Method
+import copperglade.transport.NettyEventLoop
 import copperglade.transport.Reply
 import copperglade.transport.Request
 import kotlin.time.Duration.Companion.seconds
@@ -70,6 +71,8 @@
     private val limitsOf: (node: Int) -> StateLimits = { scale.stateLimits },
     /** So many jobs were over before this day began. */
     endedBefore: Int = 0,
+    /** Whether controllers take a fault in a decision as a real process does; else the test fails with it. */
+    private val takesFaults: Boolean = false,
 ) : World {
     val network = SimNetwork(sim)
     private val worldLoop = SimLoop(sim)
@@ -181,6 +184,7 @@
     fun startController(node: Int) {
         if (controllers[node]?.second?.alive == true) return
         val loop = SimLoop(sim, drift = node * DRIFT)
+        if (takesFaults) loop.guard = NettyEventLoop::guarded
         val its = if (outsideLimitS != null && node % 2 == 0) Tuning(stalenessLimit = outsideLimitS.seconds) else tuning
         val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), its)
         controllers[node] = controller to loop
@@ -189,6 +193,16 @@
         controller.start()
     }
 
+    /** One of the next decisions of this controller ends in a fault, after so many readings of its clock. */
+    fun injectFault(node: Int, afterReadings: Int) {
+        controllers.getValue(node).second.faultIn = afterReadings
+    }
+
+    /** The next decision of this controller that reads the time of day ends in a fault: so does each that releases a waiting job. */
+    fun injectFaultAtRelease(node: Int) {
+        controllers.getValue(node).second.faultAtWallClock = true
+    }
+
     fun crash(node: Int, backAfterMs: Double = 3000.0) {
         controllers[node]?.second?.alive = false
         sim.after(backAfterMs) { startController(node) }
--- a/src/test/kotlin/copperglade/sim/Simulation.kt
+++ b/src/test/kotlin/copperglade/sim/Simulation.kt
@@ -54,9 +54,32 @@
 
     private fun clockMs() = clockAtBase + (sim.nowMs - baseMs) * rate
 
-    override fun now() = Moment(clockMs().toLong())
+    /** So many readings of its clocks from now on, one ends as where memory has run out; negative: none does. */
+    var faultIn = -1
 
-    override fun wallMillis() = sim.nowMs.toLong()
+    private fun mayFail() {
+        if (faultIn >= 0 && faultIn-- == 0) throw OutOfMemoryError("injected")
+    }
+
+    override fun now(): Moment {
+        mayFail()
+        return Moment(clockMs().toLong())
+    }
+
+    /** How the process takes a fault in one of its decisions. By default it comes out, and the test fails. */
+    var guard: (action: () -> Unit) -> Unit = { it() }
+
+    /** The next reading of the time of day ends in such a fault. */
+    var faultAtWallClock = false
+
+    override fun wallMillis(): Long {
+        mayFail()
+        if (faultAtWallClock) {
+            faultAtWallClock = false
+            throw OutOfMemoryError("injected")
+        }
+        return sim.nowMs.toLong()
+    }
 
     private var frozenUntilMs = 0.0
 
@@ -70,7 +93,7 @@
     }
 
     override fun after(delay: Duration, action: () -> Unit) =
-        sim.after(delay.inWholeMicroseconds / 1000.0 / rate) { whenAwake { if (alive) action() } }
+        sim.after(delay.inWholeMicroseconds / 1000.0 / rate) { whenAwake { if (alive) guard(action) } }
 }
 
 /** One way of a message: a request to a host, or the answer that comes back from it. */
@@ -202,7 +225,7 @@
         fun finish(reply: Reply?) {
             if (over || !loop.alive) return
             over = true
-            done(reply)
+            loop.guard { done(reply) }
         }
         calls++
         loop.after(timeout) { finish(null) }
@@ -233,8 +256,10 @@
             hosts[to]?.let { present ->
                 present.loop.whenAwake {
                     if (present.loop.alive) {
-                        present.handler.handle(Request(request.method, request.path, request.body)) { reply ->
-                            if (host.name == STATE && name in refused) withheld += name to { answer(reply) } else answer(reply)
+                        present.loop.guard {
+                            present.handler.handle(Request(request.method, request.path, request.body)) { reply ->
+                                if (host.name == STATE && name in refused) withheld += name to { answer(reply) } else answer(reply)
+                            }
                         }
                     }
                 }
