--- a/src/main/kotlin/copperglade/app/Main.kt
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -56,11 +56,11 @@
             val shares = SocketShares.of(settings.socketLimit, settings.peers.size)
             val loop = NettyEventLoop()
             val always = settings.peers.mapTo(hashSetOf(settings.state, settings.cloud)) { it.endpoint }
-            val caller = NettyHttpCaller(loop.group, shares.workers, always)
+            val caller = NettyHttpCaller(loop, shares.workers, always)
             val controller = Controller(loop, caller, settings, tuning)
-            NettyHttpServer(loop.group, shares.users, handler = controller.clientHandler)
+            NettyHttpServer(loop, shares.users, handler = controller.clientHandler)
                 .listen(settings.clientListen)
-            NettyHttpServer(loop.group, shares.peers, LONGEST_PEER_MESSAGE, controller.clusterHandler)
+            NettyHttpServer(loop, shares.peers, LONGEST_PEER_MESSAGE, controller.clusterHandler)
                 .listen(settings.clusterListen)
             loop.after(Duration.ZERO) { controller.start() }
         }
--- a/src/main/kotlin/copperglade/app/Rehearsal.kt
+++ b/src/main/kotlin/copperglade/app/Rehearsal.kt
@@ -32,11 +32,11 @@
 
     override fun call(): Int {
         val loop = NettyEventLoop()
-        val http = NettyHttpCaller(loop.group)
+        val http = NettyHttpCaller(loop)
         val ports = List(PORTS) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
         val outside = Endpoint("127.0.0.1", ports[0])
         NettyHttpServer(
-            loop.group,
+            loop,
             SOCKETS,
             handler = RequestHandler { request, responder -> canned(loop, request, responder) },
         ).listen(outside)
--- a/src/main/kotlin/copperglade/coordination/BlockPlacement.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockPlacement.kt
@@ -42,10 +42,18 @@
 
     private fun mayStart(run: Run, now: Moment): Boolean {
         val job = run.task.job
-        if (now < run.notBefore) return false
+        if (now < run.notBefore || isRefused(run)) return false
         return job !in mistakenJobs || (backoff.mayTry(job, now) && state.runs.of(job).none { it.onMachine })
     }
 
+    /** The leader that assigned it may have known less than we do, or may be of a version that knows no dependencies. */
+    private fun isRefused(run: Run): Boolean {
+        val refusal = state.context.guard.refusalByRecords(run.task)
+        if (refusal != null && refusal != run.lastRefusal) state.context.decisions.refused(run.task, refusal)
+        run.lastRefusal = refusal
+        return refusal != null
+    }
+
     /** Of a mistaken job one task waits here to be tried; the others would only hold room and their team's limit. */
     private fun giveBackAllButOneTrial() {
         val mistaken = state.runs.waiting.filter { it.task.job in mistakenJobs }
--- a/src/main/kotlin/copperglade/coordination/CommandPlanner.kt
+++ b/src/main/kotlin/copperglade/coordination/CommandPlanner.kt
@@ -16,17 +16,19 @@
 class CommandPlanner(private val state: BlockState) {
     private val loop = state.context.loop
 
-    /** The commands due for [machine]: what makes room comes first, as many as one message may hold. */
+    /** The commands due for [machine]: stops first, since they make room and may be urgent, and as many as one message may hold. */
     fun dueFor(machine: Machine): List<Command> {
         val now = loop.now()
-        val commands = ArrayList<Command>()
-        for (reported in machine.reportedTasks) {
-            if (machine.runOf(reported) == null) unknownTaskCommand(machine, reported, now)?.let(commands::add)
-        }
+        val commands = unknownTaskCommands(machine, now)
         for (run in machine.runs) runCommand(run, now)?.let(commands::add)
         return commands.sortedBy { COMMAND_ORDER.indexOf(it::class) }.take(MOST_COMMANDS)
     }
 
+    /** What is due for tasks that no run of ours is bound to. */
+    fun unknownTaskCommands(machine: Machine, now: Moment): MutableList<Command> = machine.reportedTasks
+        .filter { machine.runOf(it) == null }
+        .mapNotNullTo(ArrayList()) { unknownTaskCommand(machine, it, now) }
+
     /** An unknown task is stopped while it lives, and removed once it has ended. */
     private fun unknownTaskCommand(machine: Machine, reported: ReportedTask, now: Moment): Command? {
         if (reported.state != ReportedTaskState.EXITED) return Command.Stop(reported.task, reported.attempt, 0.0)
@@ -42,7 +44,7 @@
         } else {
             null
         }
-        RunState.STARTING -> if (!run.wasReported && now >= run.startSentAt + RESEND_PAUSE && state.context.membership.mayStart) {
+        RunState.STARTING -> if (!run.wasReported && now >= run.startSentAt + RESEND_PAUSE && mayStart(run)) {
             Command.Start(run.task, run.attempt)
         } else {
             null
@@ -50,6 +52,8 @@
         else -> null
     }
 
+    private fun mayStart(run: Run) = state.context.guard.refusalToStart(run.task) == null
+
     /** A cancelled task gets no time to save. */
     private fun graceFor(run: Run): Double = if (run.stopReason == StopReason.CANCELLED) 0.0 else run.spec.saveS
 
@@ -73,6 +77,6 @@
         /** How long a command has to take effect before it is sent again. */
         val RESEND_PAUSE = 1000.milliseconds
         private const val MOST_COMMANDS = 200
-        private val COMMAND_ORDER = listOf(Command.Remove::class, Command.Stop::class, Command.Start::class)
+        private val COMMAND_ORDER = listOf(Command.Stop::class, Command.Remove::class, Command.Start::class)
     }
 }
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -34,6 +34,8 @@
     caller: HttpCaller,
     private val settings: PlatformSettings,
     tuning: Tuning,
+    /** Told of each action that the last check before it has refused: see [Violations]. */
+    onViolation: (Violation) -> Unit = {},
 ) {
     private val workload = Workload(loop)
     private val http = workload.measured(caller)
@@ -63,6 +65,9 @@
         stalenessLimit = staleness,
         startLimit = quiet * 2,
     )
+    private val violations = Violations(onViolation)
+    private val guard = ActionGuard(replica, membership, violations)
+    private val decisions = DecisionLog(loop, replica, membership, violations)
     private val absentOwners = AbsentOwners(loop, replica, settings.peers.map { it.member }, membership.grace)
     private val leadership = Leadership(loop, store, replica, membership, tuning.leaderLease)
     private val zoneOfMember = settings.peers.associate { it.member to it.zone } + (settings.member to settings.zone)
@@ -80,7 +85,21 @@
     private val types = MachineTypeCatalog(loop, http, settings.cloud)
     private val cloudBudget = TokenBucket(settings.cloudRps * CLOUD_SHARE / zoneOfMember.size, 2.0, loop.now())
     private val owner: Owner = Owner(
-        OwnerContext(loop, http, replica, membership, types, profiles, tuning, settings.reportS, settings.leaseS, workload, absentOwners),
+        OwnerContext(
+            loop,
+            http,
+            replica,
+            membership,
+            types,
+            profiles,
+            tuning,
+            settings.reportS,
+            settings.leaseS,
+            workload,
+            absentOwners,
+            guard,
+            decisions,
+        ),
         store,
         blockMap,
         settings.cloud,
@@ -102,7 +121,7 @@
     private val fairShare = FairShare(tuning.turnAfterS, tuning.turnShare)
     private val assigner =
         Assigner(loop, store, replica, leadership, capacityTable, types, settings.teams, settings.objectives, fairShare, ::capacityStatusOf)
-    private val jobFinalizer = JobFinalizer(store, replica, leadership)
+    private val jobFinalizer = JobFinalizer(store, replica, leadership, guard, decisions)
     private val fleet = Fleet(
         loop,
         http,
@@ -146,6 +165,7 @@
         fleet.start()
         submissions.start()
         workload.start()
+        decisions.start()
         polls.start()
         loop.again({ if (leadership.leading) SHORTEST_ROUND + (lastRound * ROUND_REST) else IDLE_ROUND }) {
             val began = loop.now()
--- a/src/main/kotlin/copperglade/coordination/JobFinalizer.kt
+++ b/src/main/kotlin/copperglade/coordination/JobFinalizer.kt
@@ -25,6 +25,8 @@
     private val store: StateClient,
     private val replica: Replica,
     private val leadership: Leadership,
+    private val guard: ActionGuard,
+    private val decisions: DecisionLog,
 ) : ReplicaListener {
     private val inFlight = HashSet<JobId>()
 
@@ -39,9 +41,7 @@
         if (inFlight.size >= MOST_IN_FLIGHT) return
         val looked = changed ?: HashSet(replica.jobs.keys)
         changed = HashSet()
-        val over = looked.mapNotNull { replica.jobs[it] }.filter {
-            it.live != null && it.id !in inFlight && (it.complete || it.cancelled) && it.assignments().isEmpty()
-        }
+        val over = looked.mapNotNull { replica.jobs[it] }.filter { it.id !in inFlight && guard.mayEnd(it) }
         val jobsAtOnce = min(JOBS_AT_ONCE, store.limits.transactionWrites / WRITES_A_JOB).coerceAtLeast(1)
         over.chunked(jobsAtOnce).forEachIndexed { index, jobs ->
             if (index < MOST_IN_FLIGHT) finalize(jobs) else jobs.forEach { lookAgain(it.id) }
@@ -52,7 +52,10 @@
         changed?.add(job)
     }
 
-    private fun finalize(jobs: List<Job>) {
+    private fun finalize(over: List<Job>) {
+        val jobs = guard.approveEnds(over)
+        if (jobs.isEmpty()) return
+        jobs.forEach { decisions.ended(it.id) }
         val conditions = ArrayList<Condition>()
         val writes = ArrayList<Write>()
         conditions += leadership.condition
--- a/src/main/kotlin/copperglade/coordination/JobService.kt
+++ b/src/main/kotlin/copperglade/coordination/JobService.kt
@@ -2,6 +2,7 @@
 
 import copperglade.protocol.BadField
 import copperglade.protocol.Cancellation
+import copperglade.protocol.Decoding
 import copperglade.protocol.JobAnswer
 import copperglade.protocol.JobId
 import copperglade.protocol.JobKind
@@ -51,7 +52,7 @@
     fun submit(body: ByteArray, responder: Responder) {
         val root = Json.readStrict(body)
         val id = root?.takeIf { it.isObject }?.text("nameId")?.let { JobId.parse(it) }
-        val parsed = JobSpecCodec.parse(root)
+        val parsed = Decoding.orNull("submission") { JobSpecCodec.parse(root) } ?: ParsedJob.Bad(BadField("body", "malformed"))
         if (id == null) return responder.send(badRequest((parsed as ParsedJob.Bad).why))
         if (replica.jobs[id]?.live != null || replica.endOf(id) != null) return status(id, responder) { answerKnown(it, responder) }
         when (parsed) {
--- a/src/main/kotlin/copperglade/coordination/Leadership.kt
+++ b/src/main/kotlin/copperglade/coordination/Leadership.kt
@@ -34,6 +34,7 @@
 ) {
     private var lease = SessionLease(loop, store, leaseLength)
     private var since = Moment.NEVER
+    private var loggedLeader: Stamp? = null
 
     var state = LeadershipState.FOLLOWING
         private set
@@ -46,7 +47,17 @@
     val condition: Condition get() = Condition(Keys.LEADER, stamp)
     val leadingForS: Double get() = loop.now().secondsSince(since)
 
-    fun start() = loop.again({ if (state == LeadershipState.LEADING) leaseLength / EXTENSIONS_PER_LEASE else LOOK }, ::tick)
+    fun start() {
+        replica.listen { touched -> if (touched.standing) logLeader() }
+        loop.again({ if (state == LeadershipState.LEADING) leaseLength / EXTENSIONS_PER_LEASE else LOOK }, ::tick)
+    }
+
+    private fun logLeader() {
+        val present = replica.leader
+        if (present?.stamp == loggedLeader) return
+        loggedLeader = present?.stamp
+        log.info("leader={} incarnation={} token={}", present?.value?.member, present?.value?.incarnation, present?.stamp)
+    }
 
     private fun moveTo(next: LeadershipState, why: String) {
         if (state == next) return
--- a/src/main/kotlin/copperglade/coordination/Membership.kt
+++ b/src/main/kotlin/copperglade/coordination/Membership.kt
@@ -29,7 +29,8 @@
 class SessionLease(private val loop: EventLoop, private val store: StateClient, private val length: Duration) {
     var leaseId: LeaseId? = null
         private set
-    private var surelyUntil = Moment.NEVER
+    var surelyUntil = Moment.NEVER
+        private set
 
     /** When the last successful request for it was sent. */
     var renewedAt = Moment.NEVER
@@ -82,6 +83,15 @@
     }
 }
 
+/** Whether this process has the right to act on workers, at the moment of asking. */
+interface RightToAct {
+    /** Whether workers may be answered and commanded. */
+    val mayAct: Boolean
+
+    /** Whether tasks may be started, too. */
+    val mayStart: Boolean
+}
+
 enum class MemberState { OUTSIDE, JOINING, MEMBER }
 
 /** This process's place among the controllers: a session lease, and `member/<id>` attached to it. */
@@ -94,7 +104,7 @@
     private val leaseLength: Duration,
     private val stalenessLimit: Duration,
     private val startLimit: Duration,
-) {
+) : RightToAct {
     private var lease = SessionLease(loop, store, leaseLength)
 
     var state = MemberState.OUTSIDE
@@ -112,16 +122,27 @@
      * Whether this process may act at this very moment: on its session lease, or on what its peers endorsed in an outage. In
      * either case its knowledge must be recent enough for a cancellation it has not heard of to be met in time.
      */
-    val mayAct: Boolean
+    override val mayAct: Boolean
         get() = state == MemberState.MEMBER && (lease.alive || loop.now() < leaseEndorsement.endorsedUntil) &&
-            loop.now() < replica.asOf + stalenessLimit
+            knowsRecords && loop.now() < replica.asOf + stalenessLimit
+
+    /** While the records are loaded anew, a part of them is missing: nothing may be decided on the rest. */
+    private val knowsRecords: Boolean get() = replica.state == ReplicaState.CURRENT
+
+    /** For how long [mayAct] will hold if nothing more is heard, in milliseconds; 0 where it doesn't. */
+    val rightLeftMs: Long
+        get() {
+            if (!mayAct) return 0
+            val byLease = maxOf(lease.surelyUntil, leaseEndorsement.endorsedUntil)
+            return minOf(byLease, replica.asOf + stalenessLimit).ms - loop.now().ms
+        }
 
     /**
      * Whether tasks may be started. For that, what is known must be newer than for keeping what runs, since no task may
      * start after its user was told that it is cancelled: either the state service has answered a moment ago, or all
      * others state that it answers nobody, and nothing can be confirmed then that they haven't told us before.
      */
-    val mayStart: Boolean
+    override val mayStart: Boolean
         get() = mayAct && (loop.now() < replica.asOf + startLimit || loop.now() < leaseEndorsement.endorsedUntil)
 
     /**
@@ -130,7 +151,7 @@
      * reckon with it ([AbsentOwners]).
      */
     val mayKeep: Boolean
-        get() = state == MemberState.MEMBER && loop.now() < minOf(lease.renewedAt, replica.asOf) + stalenessLimit
+        get() = state == MemberState.MEMBER && knowsRecords && loop.now() < minOf(lease.renewedAt, replica.asOf) + stalenessLimit
 
     /** How long that may go on beyond the session lease. */
     val grace: Duration get() = (stalenessLimit - leaseLength) * (1.0 + 2 * SessionLease.DRIFT) + GRACE_MARGIN
--- a/src/main/kotlin/copperglade/coordination/OwnerContext.kt
+++ b/src/main/kotlin/copperglade/coordination/OwnerContext.kt
@@ -20,6 +20,8 @@
     val leaseS: Double,
     val workload: Workload,
     val absentOwners: AbsentOwners,
+    val guard: ActionGuard,
+    val decisions: DecisionLog,
 ) {
     /** One for all blocks of the process: the more machines are seen, the sooner a mistaken job is known. */
     val evidence = FailureEvidence(tuning.machinesToBlameJob)
--- a/src/main/kotlin/copperglade/coordination/ReportIntake.kt
+++ b/src/main/kotlin/copperglade/coordination/ReportIntake.kt
@@ -9,12 +9,11 @@
  *
  * An answer of 200 renews the worker's lease, so it must be reckoned with whether it arrives or not. Invariants: a late copy
  * of a report gets no answer and changes nothing; no 200 lacks the stops of the cancelled tasks that the report shows
- * ([CancelledWork]). They guard against tasks that outlive their job's cancellation, or run twice because an old report was
+ * ([ActionGuard.stopsFor]). They guard against tasks that outlive their job's cancellation, or run twice because an old report was
  * taken for new.
  */
 class ReportIntake(
     private val state: BlockState,
-    private val cancelledWork: CancelledWork,
     private val tracker: MachineTracker,
     private val commands: WorkerCommands,
 ) {
@@ -88,14 +87,17 @@
     private fun answersDoNotArrive(machine: Machine): Boolean =
         state.open && !state.isFenced(machine) && machine.answersInVain >= MOST_ANSWERS_IN_VAIN
 
-    /** Every answer of 200 is made here: see [CancelledWork] for what none of them may lack. */
+    /** Every answer of 200 is made here: see [ActionGuard.stopsFor] for what none of them may lack. */
     private fun answer(report: Report, commands: List<Command> = emptyList()): ByteArray {
-        val cancelledStops = cancelledWork.stopsFor(report)
-        if (cancelledStops.isEmpty()) return WorkerWire.answer(state.token, commands)
+        val guard = state.context.guard
+        val stops = guard.stopsFor(report)
         val others = commands.filterNot { command ->
-            command is Command.Stop && cancelledStops.any { it.attempt == command.attempt && it.task == command.task }
+            command is Command.Stop && stops.any { it.attempt == command.attempt && it.task == command.task }
         }
-        return WorkerWire.answer(state.token, cancelledStops + others)
+        val approved = guard.approveAnswer(report, stops + others)
+        state.context.decisions.commanded(report.machine, state.token, approved, way = "answer")
+        state.context.decisions.answered(report.machine, state.token, stops.size)
+        return WorkerWire.answer(state.token, approved)
     }
 
     private companion object {
--- a/src/main/kotlin/copperglade/coordination/Run.kt
+++ b/src/main/kotlin/copperglade/coordination/Run.kt
@@ -66,6 +66,9 @@
     var notBefore = Moment.NEVER
     val avoid = HashSet<MachineName>()
 
+    /** Why it was not started when that was last looked at. */
+    var lastRefusal: Refusal? = null
+
     private var victims: List<Run> = emptyList()
     private var yieldsTo: Run? = null
 
--- a/src/main/kotlin/copperglade/coordination/RunReconciler.kt
+++ b/src/main/kotlin/copperglade/coordination/RunReconciler.kt
@@ -15,7 +15,6 @@
  */
 class RunReconciler(
     private val state: BlockState,
-    private val cancelledWork: CancelledWork,
     private val stopper: RunStopper,
     private val backoff: RetryBackoff,
 ) {
@@ -68,6 +67,7 @@
 
     /** The record of its outcome stands; whatever its machine still reports of it is removed as an unknown task. */
     private fun forget(run: Run) {
+        context.decisions.forgotten(run.task, run.state, run.machine?.name)
         run.unbind()
         runs.remove(run)
     }
@@ -82,7 +82,7 @@
         if (state.machines.values.any { !state.isFenced(it) && !it.ours }) return
         for (run in missing) {
             run.moveTo(RunState.WAITING, "on no worker", now)
-            if (cancelledWork.isCancelled(run.task.job)) stopper.stop(run, StopReason.CANCELLED)
+            if (context.guard.isCancelled(run.task.job)) stopper.stop(run, StopReason.CANCELLED)
         }
     }
 }
--- a/src/main/kotlin/copperglade/coordination/TaskObserver.kt
+++ b/src/main/kotlin/copperglade/coordination/TaskObserver.kt
@@ -17,7 +17,6 @@
  */
 class TaskObserver(
     private val state: BlockState,
-    private val cancelledWork: CancelledWork,
     private val lifecycle: RunLifecycle,
     private val stopper: RunStopper,
     private val commands: WorkerCommands,
@@ -45,7 +44,7 @@
         run.bind(machine, reported.attempt)
         run.wasReported = true
         run.moveTo(RunState.STARTING, "found on ${machine.name}", loop.now())
-        if (cancelledWork.isCancelled(reported.task.job)) stopper.stop(run, StopReason.CANCELLED)
+        if (context.guard.isCancelled(reported.task.job)) stopper.stop(run, StopReason.CANCELLED)
     }
 
     private fun observe(run: Run, machine: Machine, reported: ReportedTask) {
--- a/src/main/kotlin/copperglade/coordination/UnresolvedStarts.kt
+++ b/src/main/kotlin/copperglade/coordination/UnresolvedStarts.kt
@@ -10,7 +10,7 @@
  *
  * Guards against a task that is started once more by a delayed message, after it was given up or after it ended.
  */
-class UnresolvedStarts(private val state: BlockState, private val cancelledWork: CancelledWork) {
+class UnresolvedStarts(private val state: BlockState) {
     private val context = state.context
 
     /**
@@ -50,7 +50,7 @@
 
     private fun blocks(start: UnresolvedStart, machine: Machine, now: Moment): Boolean =
         start.actsUntil == null && start.fencingToken == state.token && now >= start.since + PATIENCE &&
-            (!machine.unresponsive || cancelledWork.isCancelled(start.task.job))
+            (!machine.unresponsive || context.guard.isOver(start.task.job))
 
     private companion object {
         /** How long a start may stay unresolved before the token is raised. */
--- a/src/main/kotlin/copperglade/coordination/WorkerCommands.kt
+++ b/src/main/kotlin/copperglade/coordination/WorkerCommands.kt
@@ -51,6 +51,7 @@
 
     /** Asks the worker at [endpoint], of which nothing is known for certain, for a report; [done] gets null if none comes. */
     fun probe(endpoint: Endpoint, session: Long, done: (Report?) -> Unit) {
+        if (!context.guard.approveSending("probe of $endpoint")) return done(null)
         val request = Request(Method.POST, WorkerWire.COMMAND_PATH, WorkerWire.order(state.token, session, emptyList()))
         context.http.call(endpoint, request, COMMAND_TIMEOUT) { reply ->
             done(reply?.let { WorkerWire.parseReport(it.body) })
@@ -64,11 +65,12 @@
      */
     fun withAnswer(machine: Machine): List<Command> {
         val due = planner.dueFor(machine)
-        val commands = when {
+        val planned = when {
             machine.unresponsive && !machine.commandInFlight -> due
             removalsAreDue(machine) -> due.filterIsInstance<Command.Remove>()
             else -> emptyList()
         }
+        val commands = context.guard.approveCommands(machine.name, planned + unknownStops(machine, planned))
         if (commands.isNotEmpty()) {
             planner.markSent(machine, commands)
             unresolved.begin(machine, commands, actsUntil = loop.now() + ANSWER_LIFETIME)
@@ -76,6 +78,12 @@
         return commands
     }
 
+    /** The direct way may be broken without our knowing yet; no lease is renewed without stopping what nobody follows any more. */
+    private fun unknownStops(machine: Machine, planned: List<Command>): List<Command> {
+        val stops = planner.unknownTaskCommands(machine, loop.now()).filterIsInstance<Command.Stop>()
+        return stops.filterNot { stop -> planned.any { it is Command.Stop && it.task == stop.task && it.attempt == stop.attempt } }
+    }
+
     /**
      * Every removal makes the worker report once more. So removals wait for a while, until the next start takes them along,
      * but not where nothing else is left: a machine is idle only once it is empty.
@@ -83,8 +91,10 @@
     private fun removalsAreDue(machine: Machine): Boolean = machine.runs.none { it.onMachine } ||
         loop.now() >= machine.lastRemovalSentAt + context.reportIntervals(REPORTS_PER_REMOVAL)
 
-    private fun send(machine: Machine, commands: List<Command>) {
+    private fun send(machine: Machine, planned: List<Command>) {
         if (!context.membership.mayAct) return
+        val commands = context.guard.approveCommands(machine.name, planned)
+        context.decisions.commanded(machine.name, state.token, commands, way = "direct")
         planner.markSent(machine, commands)
         val sentAt = loop.now()
         machine.commandInFlight = true
--- a/src/main/kotlin/copperglade/coordination/Workload.kt
+++ b/src/main/kotlin/copperglade/coordination/Workload.kt
@@ -51,7 +51,7 @@
     }
 
     private fun kindOf(request: Request) = request.path
-        .substring(1)
+        .removePrefix("/")
         .substringBefore('/')
         .substringBefore('?')
 
--- a/src/main/kotlin/copperglade/protocol/CloudWire.kt
+++ b/src/main/kotlin/copperglade/protocol/CloudWire.kt
@@ -31,9 +31,11 @@
     const val MOST_RENTED = 50
     const val MOST_DELETED = 100
     const val LIST_LIMIT = 500
+    private const val ANSWER = "answer of the cloud"
 
-    fun parseTypes(root: JsonNode?): List<MachineType>? =
+    fun parseTypes(root: JsonNode?): List<MachineType>? = Decoding.orNull(ANSWER) {
         root?.get("fleets")?.takeIf { it.isArray }?.mapNotNull(::parseType)
+    }
 
     private fun parseType(node: JsonNode): MachineType? {
         val cpus = node.number("vcpus") ?: return null
@@ -51,9 +53,10 @@
         )
     }
 
-    fun parsePage(root: JsonNode?): MachinePage? {
-        val machines = root?.get("trucks")?.takeIf { it.isArray } ?: return null
-        return MachinePage(machines.mapNotNull(::parseListed), root.flag("truncated") ?: false)
+    fun parsePage(root: JsonNode?): MachinePage? = Decoding.orNull(ANSWER) {
+        root?.get("trucks")?.takeIf { it.isArray }?.let { machines ->
+            MachinePage(machines.mapNotNull(::parseListed), root.flag("truncated") ?: false)
+        }
     }
 
     private fun parseListed(node: JsonNode): ListedMachine? {
@@ -82,8 +85,9 @@
         }
     }
 
-    fun parseRented(root: JsonNode?): List<MachineName>? =
+    fun parseRented(root: JsonNode?): List<MachineName>? = Decoding.orNull(ANSWER) {
         root?.get("trucks")?.takeIf { it.isArray }?.map { MachineName(it.asText()) }
+    }
 
     fun deletion(machines: List<MachineName>): ByteArray = Json.write {
         obj { array("trucks") { machines.forEach { writeString(it.text) } } }
--- a/src/main/kotlin/copperglade/protocol/PeerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerWire.kt
@@ -1,7 +1,6 @@
 package copperglade.protocol
 
 import okio.Buffer
-import okio.EOFException
 
 /** The room on one machine, as its block's owner sees it. */
 class MachineRoom(
@@ -148,13 +147,7 @@
     }
 
     /** What [read] makes of a message, or null where it is no such message. */
-    private fun <T> reading(read: () -> T): T? = try {
-        read()
-    } catch (_: EOFException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    }
+    private fun <T : Any> reading(read: () -> T?): T? = Decoding.orNull("peer message", read)
 
     /** Words by number, in order of their first use. */
     private class Words {
--- a/src/main/kotlin/copperglade/protocol/WorkerWire.kt
+++ b/src/main/kotlin/copperglade/protocol/WorkerWire.kt
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonGenerator
 import com.fasterxml.jackson.core.JsonParser
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
 
 enum class ReportedTaskState(val wire: String) {
@@ -64,10 +63,8 @@
      * Reads a report without building a tree of it: hundreds come every second, and building trees was a fifth of what
      * each of them cost. Null where it is none.
      */
-    fun parseReport(bytes: ByteArray): Report? = try {
+    fun parseReport(bytes: ByteArray): Report? = Decoding.orNull("report") {
         Json.parser(bytes).use { if (it.nextToken() == JsonToken.START_OBJECT) ReportDraft().read(it) else null }
-    } catch (_: JsonProcessingException) {
-        null
     }
 
     /** A report as far as it has been read. */
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode
 import copperglade.protocol.BlockName
+import copperglade.protocol.Decoding
 import copperglade.protocol.JobId
 import copperglade.protocol.JobSpec
 import copperglade.protocol.Json
@@ -178,6 +179,7 @@
         lastReading = sent
         store.changes(Keys.ROOT, cursor, wait) { outcome ->
             val began = loop.now()
+            logReading(outcome, sent)
             take(outcome)
             takingTook = (loop.now().ms - began.ms).milliseconds
             // What comes amid a new loading is not taken in, so it must not make what is known look newer than it is.
@@ -187,6 +189,20 @@
         }
     }
 
+    private fun logReading(outcome: ChangesOutcome, sent: Moment) {
+        if (!log.isDebugEnabled) return
+        val received = outcome as? ChangesOutcome.Received
+        log.debug(
+            "reading from={} to={} changes={} took_ms={} knowledge_ms={} state={}",
+            cursor,
+            received?.ledger,
+            received?.changes?.size,
+            loop.now().ms - sent.ms,
+            loop.now().ms - asOf.ms,
+            state,
+        )
+    }
+
     private fun reload() {
         if (state == ReplicaState.LOADING) return
         moveTo(ReplicaState.LOADING, "the service no longer has the changes since $cursor")
@@ -268,34 +284,37 @@
 
     private fun put(key: String, value: JsonNode, stamp: Stamp, touched: Touched) {
         if (dropped[key]?.let { it >= stamp } == true) return
-        when (val parsed = Keys.parse(key)) {
+        when (val parsed = decoded { Keys.parse(key) }) {
             null -> return
             is ParsedKey.Live -> {
                 val job = job(parsed.job, touched)
-                if (stamp > job.liveStamp()) RecordCodec.decodeLive(value)?.let { job.live = Stamped(it, stamp) }
+                if (stamp > job.liveStamp()) decoded { RecordCodec.decodeLive(value) }?.let { job.live = Stamped(it, stamp) }
             }
             ParsedKey.Assignments -> putPackedRecord(key, value, stamp, AssignmentParts, touched)
             is ParsedKey.Outcomes -> putPackedRecord(key, value, stamp, OutcomeParts(parsed.block), touched)
             is ParsedKey.Over -> rememberEnd(parsed.job, value, touched)
             is ParsedKey.Block -> if (newer(stamp, blocks[parsed.name])) {
                 touched.standing = true
-                RecordCodec.decodeBlock(value)?.let { blocks[parsed.name] = Stamped(it, stamp) }
+                decoded { RecordCodec.decodeBlock(value) }?.let { blocks[parsed.name] = Stamped(it, stamp) }
             }
             is ParsedKey.Member -> if (newer(stamp, members[parsed.id])) {
                 touched.standing = true
-                RecordCodec.decodeMember(value)?.let { members[parsed.id] = Stamped(it, stamp) }
+                decoded { RecordCodec.decodeMember(value) }?.let { members[parsed.id] = Stamped(it, stamp) }
             }
             is ParsedKey.Images -> if (newer(stamp, images[parsed.block])) {
-                images[parsed.block] = Stamped(RecordCodec.decodeImages(value), stamp)
+                decoded { RecordCodec.decodeImages(value) }?.let { images[parsed.block] = Stamped(it, stamp) }
             }
-            is ParsedKey.Room -> RecordCodec.decodePeerStatus(value)?.let { touched.peerStatuses += it }
+            is ParsedKey.Room -> decoded { RecordCodec.decodePeerStatus(value) }?.let { touched.peerStatuses += it }
             ParsedKey.Leader -> if (newer(stamp, leader)) {
                 touched.standing = true
-                RecordCodec.decodeLeader(value)?.let { leader = Stamped(it, stamp) }
+                decoded { RecordCodec.decodeLeader(value) }?.let { leader = Stamped(it, stamp) }
             }
         }
     }
 
+    /** What a record says, or null where it is malformed: then it counts as not written. */
+    private fun <T : Any> decoded(decode: () -> T?): T? = Decoding.orNull("record", decode)
+
     private fun rememberEnd(id: JobId, value: JsonNode, touched: Touched) {
         endedJobs.remember(id, value)
         if (dependencies.isAwaited(id)) touched.jobs += id
@@ -303,7 +322,7 @@
 
     private fun drop(key: String, stamp: Stamp, touched: Touched) {
         if (stamp > cursor) dropped[key] = stamp
-        when (val parsed = Keys.parse(key)) {
+        when (val parsed = decoded { Keys.parse(key) }) {
             null, is ParsedKey.Over, is ParsedKey.Room -> return
             is ParsedKey.Live -> editJob(parsed.job, touched) { if (older(it.live, stamp)) it.live = null }
             ParsedKey.Assignments -> dropPackedRecord(key, stamp, AssignmentParts, touched)
@@ -335,8 +354,9 @@
             places += place
             val known = jobs[place.job]?.let { parts.present(it, place.page) }
             // The same, or older than what stands in another packed record.
-            if (known != null && known.value.version >= RecordCodec.versionOf(part)) continue
-            parts.set(job(place.job, touched), place.page, part, key)
+            val version = decoded { RecordCodec.versionOf(part) } ?: continue
+            if (known != null && known.value.version >= version) continue
+            decoded { parts.set(job(place.job, touched), place.page, part, key) }
         }
         before?.places?.forEach { if (it !in places) removePart(key, it, parts, touched) }
         packedRecordsByKey[key] = PackedRecord(stamp, places)
--- a/src/main/kotlin/copperglade/transport/NettyEventLoop.kt
+++ b/src/main/kotlin/copperglade/transport/NettyEventLoop.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.SelectStrategy
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.IntSupplier
-import org.slf4j.LoggerFactory
 import java.nio.channels.spi.SelectorProvider
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
@@ -46,8 +45,8 @@
     }
 }
 
-/** A single NIO thread that serves every socket and makes every decision. */
-class NettyEventLoop : EventLoop {
+/** A single NIO thread that serves every socket and makes every decision, each of them behind [barrier]. */
+class NettyEventLoop(val barrier: FaultBarrier = FaultBarrier.endingTheProcess()) : EventLoop {
     val group: EventLoopGroup =
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider()) { GatheringSelectStrategy() })
 
@@ -58,21 +57,11 @@
     override fun wallMillis() = System.currentTimeMillis()
 
     override fun after(delay: Duration, action: () -> Unit) {
-        group.schedule({ guarded(action) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        group.schedule({ barrier.run(action) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    companion object {
-        private const val NANOS_PER_MS = 1_000_000L
-        private const val NANOS_PER_MICRO = 1_000L
-        private val log = LoggerFactory.getLogger("loop")
-
-        /** A fault in one decision must not silence what follows from it without a trace. */
-        fun guarded(action: () -> Unit) {
-            try {
-                action()
-            } catch (fault: Throwable) {
-                log.error("unexpected fault", fault)
-            }
-        }
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+        const val NANOS_PER_MICRO = 1_000L
     }
 }
--- a/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -31,11 +30,12 @@
  * its connection with it, so that a late answer can never be taken for that of a later request.
  */
 class NettyHttpCaller(
-    private val group: EventLoopGroup,
+    private val loop: NettyEventLoop,
     private val connectionLimit: Int = Int.MAX_VALUE,
     /** Always to be reached, whatever the limit: there are few of them. */
     private val always: Set<Endpoint> = emptySet(),
 ) : HttpCaller {
+    private val group = loop.group
     private val idle = HashMap<Endpoint, ArrayDeque<Exchange>>()
 
     /** The same connections, longest idle first, and since when. */
@@ -152,7 +152,7 @@
     }
 
     /** One request on its way, until it is answered, times out or loses its connection. */
-    private class Waiting(val to: Endpoint, val request: Request, private val done: (Reply?) -> Unit) {
+    private inner class Waiting(val to: Endpoint, val request: Request, private val done: (Reply?) -> Unit) {
         var over = false
             private set
         var channel: Channel? = null
@@ -162,7 +162,7 @@
             if (over) return
             over = true
             deadline?.cancel(false)
-            NettyEventLoop.guarded { done(reply) }
+            loop.barrier.run { done(reply) }
         }
 
         fun timedOut() {
@@ -215,6 +215,7 @@
 
         @Deprecated("Netty's own name for it")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            if (cause is VirtualMachineError) loop.barrier.broken(cause)
             log.debug("connection to {} lost: {}", to, cause.toString())
             context.close()
         }
--- a/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -30,6 +29,7 @@
 import io.netty.handler.timeout.IdleStateEvent
 import io.netty.handler.timeout.IdleStateHandler
 import org.slf4j.LoggerFactory
+import java.net.InetSocketAddress
 
 /**
  * An HTTP/1.1 server on one address.
@@ -40,7 +40,7 @@
  * @param longestBody in bytes; a longer one is refused with 400.
  */
 class NettyHttpServer(
-    private val group: EventLoopGroup,
+    private val loop: NettyEventLoop,
     private val connectionLimit: Int,
     private val longestBody: Int = LONGEST_PROTOCOL_BODY,
     private val handler: RequestHandler,
@@ -50,9 +50,10 @@
     /** Connections that wait for their next request, longest idle first, and since when. */
     private val idleSince = LinkedHashMap<Channel, Long>()
 
-    fun listen(at: Endpoint) {
-        ServerBootstrap()
-            .group(group)
+    /** Listens at [at], or with port 0 at any free port; returns where. */
+    fun listen(at: Endpoint): Endpoint {
+        val listening = ServerBootstrap()
+            .group(loop.group)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, connectionLimit)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -63,6 +64,8 @@
             })
             .bind(at.host, at.port)
             .sync()
+            .channel()
+        return Endpoint(at.host, (listening.localAddress() as InetSocketAddress).port)
     }
 
     private fun accept(channel: SocketChannel) {
@@ -124,12 +127,7 @@
                 else -> Method.OTHER
             }
             val request = Request(method, message.uri(), ByteBufUtil.getBytes(message.content()))
-            try {
-                handler.handle(request) { answer(context.channel(), it, keep) }
-            } catch (fault: RuntimeException) {
-                log.error("fault while answering {} {}", method, request.path, fault)
-                answer(context.channel(), Reply(HttpStatus.UNAVAILABLE), keep = false)
-            }
+            loop.barrier.run { handler.handle(request) { answer(context.channel(), it, keep) } }
         }
 
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
@@ -138,6 +136,7 @@
 
         @Deprecated("Netty's own name for it")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            if (cause is VirtualMachineError) loop.barrier.broken(cause)
             log.debug("connection lost: {}", cause.toString())
             context.close()
         }
--- /dev/null
+++ b/src/test/kotlin/copperglade/coordination/ActionGuardTest.kt
@@ -0,0 +1,163 @@
+package copperglade.coordination
+
+import copperglade.protocol.Attempt
+import copperglade.protocol.BlockName
+import copperglade.protocol.Command
+import copperglade.protocol.Endpoint
+import copperglade.protocol.FencingToken
+import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
+import copperglade.protocol.JobStatus
+import copperglade.protocol.MachineName
+import copperglade.protocol.Report
+import copperglade.protocol.ReportedTask
+import copperglade.protocol.ReportedTaskState
+import copperglade.protocol.TaskId
+import copperglade.sim.SimLoop
+import copperglade.sim.SimNetwork
+import copperglade.sim.SimSite
+import copperglade.sim.Simulation
+import copperglade.standin.StandInState
+import copperglade.storage.AssignmentGroup
+import copperglade.storage.AssignmentPage
+import copperglade.storage.EndRecord
+import copperglade.storage.JobPage
+import copperglade.storage.Keys
+import copperglade.storage.LiveRecord
+import copperglade.storage.RecordCodec
+import copperglade.storage.Replica
+import copperglade.storage.StateClient
+import copperglade.storage.StateLimits
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.BitSet
+
+/** Actions whose paths forgot to ask: each is caught by the last check, refused and reported. */
+class ActionGuardTest {
+    private class Right(override var mayAct: Boolean = true, override var mayStart: Boolean = true) : RightToAct
+
+    private val free = JobId("job-1")
+    private val cancelled = JobId("job-2")
+    private val blocked = JobId("job-3")
+    private val over = JobId("job-4")
+    private val called = JobId("job-5")
+    private val unknown = JobId("job-99")
+    private val machine = MachineName("i-1")
+    private val right = Right()
+    private val seen = ArrayList<Violation>()
+    private val replica = loadedReplica()
+    private val guard = ActionGuard(replica, right, Violations { seen += it })
+
+    private fun loadedReplica(): Replica {
+        val sim = Simulation(1)
+        val loop = SimLoop(sim)
+        val network = SimNetwork(sim)
+        val state = StandInState(loop)
+        network.listen(AT, "state", loop, state)
+
+        fun live(id: JobId, cancelled: Boolean = false, awaits: List<JobId> = emptyList()) {
+            val spec = SimSite.job(id.text.substringAfter('-').toInt(), tasks = 2)
+            state.put(Keys.live(id), RecordCodec.encode(LiveRecord(spec, 0, cancelled, awaits)))
+        }
+        live(free)
+        live(cancelled, cancelled = true)
+        live(blocked, awaits = listOf(free))
+        state.put(Keys.over(over), RecordCodec.encode(EndRecord(JobStatus.DONE, 2)))
+        state.put(Keys.over(called), RecordCodec.encode(EndRecord(JobStatus.CANCELLED, 0)))
+        val group = AssignmentGroup(BlockName("north.0"), FencingToken(1), 1, BitSet().also { it.set(0) })
+        val page = RecordCodec.encode(AssignmentPage(listOf(group), BitSet(), 1, 1, 1))
+        state.put("${Keys.assignmentRecords(JobKind.ARRAY)}0", RecordCodec.encodePackedRecord(mapOf(JobPage(cancelled, 0) to page)))
+        val replica = Replica(loop, StateClient(loop, network.callerOf("node", loop), AT, StateLimits(1e3, 1e3, 4.0, 12)))
+        replica.start()
+        sim.run(500.0)
+        listOf(over, called).forEach { replica.readEnd(it) {} }
+        sim.run(500.0)
+        return replica
+    }
+
+    private fun start(job: JobId) = Command.Start(TaskId(job, 0), Attempt(1))
+
+    private fun report(jobs: List<JobId>) = Report(
+        machine,
+        Endpoint("10.0.0.1", 9000),
+        "box",
+        "north",
+        spot = false,
+        session = 1,
+        tally = 1,
+        fencingToken = FencingToken(1),
+        noticeS = null,
+        reportedTasks = jobs.map { ReportedTask(TaskId(it, 0), Attempt(1), ReportedTaskState.RUNNING, null) },
+    )
+
+    private fun assertReported(vararg invariants: Invariant) = assertEquals(invariants.toList(), seen.map { it.invariant })
+
+    @Test
+    fun `why a task may not be started`() {
+        val refusals = listOf(free, cancelled, blocked, over, called, unknown).map { guard.refusalToStart(TaskId(it, 0)) }
+        val expected =
+            listOf(null, Refusal.JOB_CANCELLED, Refusal.JOB_BLOCKED, Refusal.JOB_ENDED, Refusal.JOB_ENDED, Refusal.UNKNOWN_JOB)
+        assertEquals(expected, refusals)
+        right.mayStart = false
+        assertEquals(Refusal.STALE_KNOWLEDGE, guard.refusalToStart(TaskId(free, 0)))
+        right.mayAct = false
+        assertEquals(Refusal.NO_RIGHT, guard.refusalToStart(TaskId(free, 0)))
+    }
+
+    @Test
+    fun `a start that no path asked about is not sent`() {
+        val sent = guard.approveCommands(machine, listOf(start(cancelled), start(free), start(blocked)))
+        assertEquals(listOf<Command>(start(free)), sent)
+        assertReported(Invariant.START_IS_ALLOWED, Invariant.START_IS_ALLOWED)
+    }
+
+    @Test
+    fun `an answer that lacks the stops of what is over gets them`() {
+        val report = report(listOf(free, cancelled, over, called, unknown))
+        val stops = guard.approveAnswer(report, emptyList()).map { it.task.job }
+        assertEquals(listOf(cancelled, over, called), stops)
+        assertReported(Invariant.ANSWER_STOPS_WHAT_IS_OVER)
+        assertEquals(guard.stopsFor(report), guard.approveAnswer(report, guard.stopsFor(report)))
+        assertReported(Invariant.ANSWER_STOPS_WHAT_IS_OVER)
+    }
+
+    @Test
+    fun `nothing is sent without the right to act`() {
+        assertTrue(guard.approveSending("a command"))
+        right.mayAct = false
+        assertFalse(guard.approveSending("a command"))
+        assertReported(Invariant.SENT_WITH_RIGHT)
+    }
+
+    @Test
+    fun `a job that runs or may be on a machine is not ended`() {
+        val jobs = listOf(free, cancelled).map { replica.jobs.getValue(it) }
+        assertEquals(
+            1,
+            replica.jobs
+                .getValue(cancelled)
+                .assignments()
+                .size,
+        )
+        assertTrue(guard.approveEnds(jobs).isEmpty())
+        assertReported(Invariant.ENDED_WITH_NOTHING_LEFT, Invariant.ENDED_WITH_NOTHING_LEFT)
+    }
+
+    @Test
+    fun `a job that has ended counts as cancelled as it did before`() {
+        assertTrue(guard.isCancelled(cancelled))
+        assertTrue(guard.isCancelled(called))
+        assertFalse(guard.isCancelled(over))
+        assertTrue(guard.isOver(over))
+        assertFalse(guard.isOver(free))
+        assertFalse(guard.isOver(unknown))
+        assertNull(replica.endOf(unknown))
+    }
+
+    private companion object {
+        val AT = Endpoint("10.2.0.1", 2379)
+    }
+}
--- a/src/test/kotlin/copperglade/sim/FaultsTest.kt
+++ b/src/test/kotlin/copperglade/sim/FaultsTest.kt
@@ -12,6 +12,77 @@
  * that decide.
  */
 class FaultsTest {
+    @ParameterizedTest
+    @MethodSource("anywhereSeeds")
+    fun `no rule is broken where decisions end in faults`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0), takesFaults = true)
+        val random = site.sim.random
+        repeat(JOBS) { number ->
+            site.sim.after(number * 2_000.0) {
+                val before = if (number % 3 == 0) emptyList() else listOf(JobId("job-$number"))
+                val spec = SimSite.job(number + 1, tasks = 1 + random.nextInt(8), etaS = 12.0)
+                val workS = 3.0 + random.nextDouble() * 20
+                site.submit(spec, before) { workS }
+            }
+            site.sim.after(number * 2_000.0 + 1_000 + random.nextInt(25_000)) {
+                if (number % 3 == 0) site.cancel(JobId("job-${number + 1}"))
+            }
+        }
+        site.run(15.0)
+        var faults = 0
+        repeat(FAULTS) {
+            site.injectFault(random.nextInt(site.nodes), random.nextInt(MOST_READINGS))
+            faults++
+            site.run(FAULT_PACE_S)
+        }
+        assertTrue(faults > 0 && site.confirmedCancellations > 0)
+        site.assertKept(240.0)
+    }
+
+    /**
+     * The same where a reading that tells of a cancellation is taken in. Some of the jobs fail wherever they run, so that their tasks
+     * wait for long between two tries.
+     */
+    @ParameterizedTest
+    @MethodSource("halvesSeeds")
+    fun `no rule is broken where cancellations are taken in by halves`(seed: Long) {
+        val site = SimSite(Simulation(seed), scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0), takesFaults = true)
+        val random = site.sim.random
+        var faults = 0
+        site.fails = { task, _ -> task.job.isMistaken() }
+        site.network.tamperAnswer = { passage, request, reply ->
+            val node = passage.to.substringAfter("lorry-", "").toIntOrNull()
+            val cancels = request.path.startsWith("/changes") && "\"cancelled\":true" in reply.body.decodeToString()
+            if (node != null && cancels && random.nextInt(FAULT_ONE_IN) == 0) {
+                faults++
+                site.injectFault(node, random.nextInt(READINGS_OF_A_TURN))
+            }
+            reply
+        }
+        val cancelled = (0 until JOBS).filter { it % 4 == 1 || JobId("job-$it").isMistaken() }
+        repeat(JOBS) { number ->
+            site.sim.after(number * 1_000.0) {
+                val before = if (number % 4 == 0 || JobId("job-$number").isMistaken()) emptyList() else listOf(JobId("job-${number - 1}"))
+                val workS = 4.0 + random.nextDouble() * 20
+                site.submit(SimSite.job(number, tasks = 1 + random.nextInt(6), etaS = 10.0), before) { workS }
+            }
+        }
+        // Many cancellations come at the moment at which another job ends, so that one reading tells of both.
+        site.whenComplete = { ended ->
+            val next = cancelled.firstOrNull {
+                site.users[JobId("job-$it")]?.let { user -> user.accepted && user.cancelAskedAt == null }
+                    ?: false
+            }
+            if (next != null) site.sim.after(random.nextInt(600).toDouble()) { site.cancel(JobId("job-$next")) }
+        }
+        site.run(100.0)
+        cancelled.forEach { site.cancel(JobId("job-$it")) }
+        site.run(20.0)
+        assertTrue(faults > 0 && site.confirmedCancellations > 0)
+        site.network.tamperAnswer = { _, _, reply -> reply }
+        site.assertKept(400.0)
+    }
+
     /**
      * A reading tells that one job is done and that another is cancelled; releasing what waited for the first ends in a fault. What waited
      * for the second must be called cancelled in time all the same.
@@ -89,7 +160,17 @@
     private companion object {
         const val JOBS = 40
         const val READINGS_OF_A_SMALL_TURN = 5
+        const val READINGS_OF_A_TURN = 25
         const val FAULT_ONE_IN = 3
+        const val FAULTS = 12
+        const val MOST_READINGS = 600
+        const val FAULT_PACE_S = 6.0
+
+        @JvmStatic
+        fun anywhereSeeds(): LongStream = LongStream.range(7000, 7020)
+
+        @JvmStatic
+        fun halvesSeeds(): LongStream = LongStream.range(7000, 7040)
 
         @JvmStatic
         fun releaseSeeds(): LongStream = LongStream.range(7000, 7040)
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -27,8 +27,8 @@
 import copperglade.storage.Keys
 import copperglade.storage.RecordCodec
 import copperglade.storage.StateLimits
+import copperglade.transport.FaultBarrier
 import copperglade.transport.Method
-import copperglade.transport.NettyEventLoop
 import copperglade.transport.Reply
 import copperglade.transport.Request
 import kotlin.time.Duration.Companion.seconds
@@ -184,9 +184,11 @@
     fun startController(node: Int) {
         if (controllers[node]?.second?.alive == true) return
         val loop = SimLoop(sim, drift = node * DRIFT)
-        if (takesFaults) loop.guard = NettyEventLoop::guarded
+        if (takesFaults) loop.guard = FaultBarrier { crash(node) }::run
         val its = if (outsideLimitS != null && node % 2 == 0) Tuning(stalenessLimit = outsideLimitS.seconds) else tuning
-        val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), its)
+        val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), its) { violation ->
+            breach("invariant", "${violation.invariant}: ${violation.what}")
+        }
         controllers[node] = controller to loop
         network.listen(client(node), name(node), loop, controller.clientHandler)
         network.listen(cluster(node), name(node), loop, controller.clusterHandler)
--- /dev/null
+++ b/src/test/kotlin/copperglade/soak/SoakReferee.kt
@@ -0,0 +1,165 @@
+package copperglade.soak
+
+import copperglade.protocol.JobId
+import copperglade.protocol.JobSpec
+import copperglade.protocol.TaskId
+
+/** A rule that was broken, and what was seen. */
+class Breach(val atMs: Long, val rule: String, val what: String) {
+    override fun toString() = "$atMs $rule: $what"
+}
+
+/**
+ * Judges a run from outside: by what ran on machines and what users were told, never by what controllers log or store.
+ *
+ * @param cancelMs the time within which all tasks of a cancelled job must be gone.
+ */
+class SoakReferee(private val now: () -> Long, private val cancelMs: Long, private val cpusMax: Double) {
+    /** A job as its user and the machines see it. */
+    class SeenJob(val spec: JobSpec, val awaits: List<JobId>) {
+        var accepted = false
+        var told: String? = null
+        var cancelAsked = false
+        var cancelledAtMs: Long? = null
+        var acceptedAtMs: Long? = null
+        var finishedAtMs: Long? = null
+        var answeredAtMs = 0L
+        val doneTasks = HashSet<Int>()
+        val finished: Boolean get() = told == DONE || told == ABORTED
+        val complete: Boolean get() = doneTasks.size == spec.tasks
+    }
+
+    /** A machine on which a task is; told apart by identity, since a machine that is back after a loss of power is another. */
+    class Place(val machine: String, val type: String, val zone: String, val spot: Boolean, val incarnation: Any)
+
+    val jobs = LinkedHashMap<JobId, SeenJob>()
+    val breaches = ArrayList<Breach>()
+    private val running = HashMap<TaskId, Place>()
+    private val reported = HashSet<String>()
+    var starts = 0
+        private set
+
+    /** Everything that was seen, in order; kept where a run fails. */
+    val events = ArrayList<String>()
+
+    private fun event(text: String) {
+        events += "${now()} $text"
+    }
+
+    private fun breach(rule: String, what: String) {
+        if (!reported.add("$rule $what")) return
+        breaches += Breach(now(), rule, what)
+        event("BREACH $rule $what")
+    }
+
+    private fun predecessorsOf(job: SeenJob): Set<SeenJob> {
+        val all = LinkedHashSet<SeenJob>()
+        val open = ArrayDeque(job.awaits)
+        while (open.isNotEmpty()) {
+            val next = jobs[open.removeFirst()] ?: continue
+            if (all.add(next)) open += next.awaits
+        }
+        return all
+    }
+
+    /** Since when [job] has been cancelled in the eyes of a user: by itself, or by a job that it needs. */
+    private fun cancelledAt(job: SeenJob): Long? {
+        val inherited = predecessorsOf(job).mapNotNull { it.cancelledAtMs }.minOrNull()
+        val acceptedAt = job.acceptedAtMs
+        val inheritedAt = if (inherited == null || acceptedAt == null) null else maxOf(inherited, acceptedAt)
+        return listOfNotNull(job.cancelledAtMs, inheritedAt).minOrNull()
+    }
+
+    /** Whether the job need not be done: it, or one that it needs, was called off. */
+    fun isCalledOff(job: SeenJob): Boolean = job.cancelAsked || predecessorsOf(job).any { it.cancelAsked }
+
+    fun started(task: TaskId, place: Place) {
+        starts++
+        event("start $task on ${place.machine}")
+        val job = jobs[task.job] ?: return breach("invented", "$task starts, and nobody submitted its job")
+        val before = running.put(task, place)
+        if (before != null && before.incarnation !== place.incarnation) breach("ran_twice", "$task on ${before.machine} and ${place.machine}")
+        if (!job.spec.allows(place.type, place.zone, place.spot)) breach("wrong_place", "$task on ${place.machine} in ${place.zone}")
+        predecessorsOf(job).firstOrNull { !it.complete }?.let { breach("too_early", "$task before ${it.spec.id} is done") }
+        val used = running.keys.sumOf { jobs[it.job]?.spec?.request?.cpus ?: 0.0 }
+        if (used > cpusMax + TOLERANCE) breach("quota", "$used CPUs with $task")
+        checkCancelled(task)
+    }
+
+    fun ended(task: TaskId, place: Place, done: Boolean) {
+        event("end $task on ${place.machine} done=$done")
+        if (running[task]?.incarnation === place.incarnation) running.remove(task)
+        if (done) jobs[task.job]?.doneTasks?.add(task.index)
+    }
+
+    private fun checkCancelled(task: TaskId) {
+        val job = jobs[task.job] ?: return
+        val since = cancelledAt(job) ?: return
+        if (now() - since > cancelMs) breach("ran_cancelled", "$task")
+    }
+
+    /** [status] is what a user was told of [id] in answer to a question asked at [askedAtMs]. */
+    fun told(id: JobId, status: String, askedAtMs: Long) {
+        val job = jobs.getValue(id)
+        job.answeredAtMs = now()
+        val final = status == DONE || status == ABORTED
+        // Of two questions under way at a time, the one asked first may be answered as things were then.
+        if (job.finished && !final && askedAtMs < (job.finishedAtMs ?: 0)) return
+        if (status != job.told) event("told $id $status")
+        if (job.finished && status != job.told) breach("went_back", "$id: ${job.told}, then $status")
+        if (status == DONE && !job.complete) breach("not_done", "$id has ${job.doneTasks.size} of ${job.spec.tasks} tasks done")
+        if (status == ABORTED && !isCalledOff(job)) breach("went_back", "$id is cancelled by nobody")
+        if (!job.finished && final) job.finishedAtMs = now()
+        if (status == ABORTED && job.cancelledAtMs == null) job.cancelledAtMs = now()
+        job.told = status
+        val since = cancelledAt(job)
+        if (!final && since != null && now() - since > cancelMs) breach("orphaned", "$id is called $status")
+    }
+
+    fun accepted(id: JobId) {
+        val job = jobs.getValue(id)
+        job.accepted = true
+        if (job.acceptedAtMs == null) job.acceptedAtMs = now()
+        job.answeredAtMs = now()
+        event("accepted $id")
+    }
+
+    /** An accepted job is refused or called unknown. */
+    fun refused(id: JobId, status: Int) = breach("forgotten", "$id gets $status")
+
+    /** What was sent and can't be accepted was. */
+    fun acceptedBad(what: String) = breach("accepted_bad", what)
+
+    /** To be called several times a second: what only time breaks. */
+    fun check() {
+        running.keys.forEach(::checkCancelled)
+        for (task in running.keys) {
+            val job = jobs[task.job] ?: continue
+            val finishedAt = job.finishedAtMs ?: continue
+            if (now() - finishedAt > cancelMs) breach("orphaned", "$task runs long after its job was called ${job.told}")
+        }
+    }
+
+    /** To be called once all troubles have been over since [calmSinceMs], for long enough. */
+    fun checkEnd(calmSinceMs: Long) {
+        for ((id, job) in jobs) {
+            if (!job.accepted) continue
+            if (job.answeredAtMs < calmSinceMs) breach("forgotten", "$id has had no answer since the troubles ended")
+            val since = cancelledAt(job)
+            if (since != null && now() - since > cancelMs && job.told != ABORTED) breach("orphaned", "$id was last called ${job.told}")
+            if (!job.spec.isService && !isCalledOff(job) && !job.finished) breach("left_waiting", "$id was last called ${job.told}")
+        }
+    }
+
+    /** Jobs of which something is still expected. */
+    fun unfinished(): List<JobId> =
+        jobs.filterValues { it.accepted && !it.finished && (!it.spec.isService || isCalledOff(it)) }.keys.toList()
+
+    private val JobSpec.isService get() = kind == copperglade.protocol.JobKind.SERVICE
+
+    private companion object {
+        const val DONE = "done"
+        const val ABORTED = "aborted"
+        const val TOLERANCE = 1e-6
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/copperglade/soak/SoakRun.kt
@@ -0,0 +1,148 @@
+package copperglade.soak
+
+import copperglade.transport.Method
+import copperglade.transport.Request
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+enum class Verdict { PASSED, FAILED, INCONCLUSIVE }
+
+/** How a run ended: [why] in one line, and what there was of jobs and troubles. */
+class SoakResult(val seed: Long, val verdict: Verdict, val why: String, val figures: String, val folder: Path)
+
+/** One run: controllers come up, users come, troubles come and end, and in the calm after them everything has to be in order. */
+class SoakRun(private val options: SoakOptions, private val seed: Long) {
+    private val folder = options.keepIn.resolve("seed-$seed")
+    private var longestStallMs = 0L
+    private var lastTickMs = 0L
+    private var watching = true
+
+    fun play(): SoakResult {
+        deleteFolder()
+        val site = SoakSite(options, seed, folder)
+        val ender = Thread { site.controllers.forEach { it.kill() } }
+        Runtime.getRuntime().addShutdownHook(ender)
+        return try {
+            play(site)
+        } finally {
+            watching = false
+            site.close()
+            Runtime.getRuntime().removeShutdownHook(ender)
+        }
+    }
+
+    private fun play(site: SoakSite): SoakResult {
+        val schedule = SoakTroubles.schedule(Random(seed), options.troubleS * MS)
+        val users = SoakUsers(site)
+        site.controllers.forEach { it.start() }
+        if (!awaitHealthy(site)) return result(site, schedule, Verdict.INCONCLUSIVE, "the controllers did not come up")
+        site.onLoop {
+            users.start()
+            lastTickMs = site.loop.now().ms
+            watch(site)
+        }
+        Thread.sleep(SETTLING_MS)
+        site.onLoop { schedule.forEach { due -> site.loop.after(due.atMs.milliseconds) { due.trouble.begin(site, due.forMs) } } }
+        Thread.sleep(options.troubleS * 1000L + LAST_TROUBLE_MS)
+        val calmSince = site.onLoop { endTroubles(site, users) }
+        awaitCalm(site)
+        return site.onLoop { judge(site, schedule, calmSince) }
+    }
+
+    private fun awaitHealthy(site: SoakSite): Boolean {
+        repeat(HEALTH_TRIES) {
+            val healthy = java.util.concurrent.atomic.AtomicInteger()
+            site.onLoop {
+                repeat(options.nodes) { node -> site.ask(node, Request(Method.GET, "/healthz")) { if (it?.status == 200) healthy.incrementAndGet() } }
+            }
+            Thread.sleep(HEALTH_PACE_MS)
+            if (healthy.get() == options.nodes) return true
+        }
+        return false
+    }
+
+    /** Looks several times a second at what only time breaks, and whether the harness itself has stood still. */
+    private fun watch(site: SoakSite) {
+        if (!watching) return
+        val now = site.loop.now().ms
+        longestStallMs = maxOf(longestStallMs, now - lastTickMs - TICK_MS)
+        lastTickMs = now
+        site.referee.check()
+        site.restartEnded()
+        site.loop.after(TICK_MS.milliseconds) { watch(site) }
+    }
+
+    private fun endTroubles(site: SoakSite, users: SoakUsers): Long {
+        site.network.heal()
+        site.state.outage = false
+        site.controllers.forEach { it.resume() }
+        site.workers.values.forEach { it.resume() }
+        users.submitting = false
+        users.cancelServices()
+        return site.loop.now().ms
+    }
+
+    private fun awaitCalm(site: SoakSite) {
+        val began = System.nanoTime()
+        Thread.sleep(SHORTEST_CALM_MS)
+        while (System.nanoTime() - began < LONGEST_CALM_MS * NANOS_PER_MS && site.onLoop { site.referee.unfinished().isNotEmpty() }) Thread.sleep(TICK_MS)
+    }
+
+    private fun judge(site: SoakSite, schedule: List<Scheduled>, calmSince: Long): SoakResult {
+        val referee = site.referee
+        referee.checkEnd(calmSince)
+        val fault = site.fault
+        return when {
+            fault != null -> result(site, schedule, Verdict.INCONCLUSIVE, "the harness itself failed: $fault")
+            longestStallMs > LONGEST_STALL_MS -> result(site, schedule, Verdict.INCONCLUSIVE, "the harness stood still for $longestStallMs ms")
+            referee.breaches.isNotEmpty() -> result(site, schedule, Verdict.FAILED, referee.breaches.take(SHOWN).joinToString("; "))
+            referee.starts == 0 || referee.jobs.values.none { it.complete } -> result(site, schedule, Verdict.FAILED, "no job ran")
+            schedule.isEmpty() || site.network.disturbed == 0 -> result(site, schedule, Verdict.FAILED, "no trouble happened")
+            else -> result(site, schedule, Verdict.PASSED, "no rule broken")
+        }
+    }
+
+    private fun result(site: SoakSite, schedule: List<Scheduled>, verdict: Verdict, why: String): SoakResult {
+        val referee = site.referee
+        val ends = site.controllers.flatMap { it.ownEnds }
+        val refused = logsOf().sumOf { log -> Files.lines(log).use { lines -> lines.filter { "violation=" in it && " count=" in it }.count() } }
+        val figures = "jobs ${referee.jobs.size}, done ${referee.jobs.values.count { it.told == "done" }}, " +
+            "cancelled ${referee.jobs.values.count { it.told == "aborted" }}, starts ${referee.starts}, troubles ${schedule.size}, " +
+            "messages disturbed ${site.network.disturbed}, own ends ${ends.size}${if (ends.isEmpty()) "" else " with status $ends"}, " +
+            "actions refused by the last check $refused, longest stall $longestStallMs ms"
+        if (verdict == Verdict.PASSED) {
+            if (ends.isEmpty() && refused == 0L) deleteFolder()
+        } else {
+            keep(referee, schedule, verdict, why, figures)
+        }
+        return SoakResult(seed, verdict, why, figures, folder)
+    }
+
+    private fun keep(referee: SoakReferee, schedule: List<Scheduled>, verdict: Verdict, why: String, figures: String) {
+        val summary = listOf("seed $seed: $verdict, $why", figures, "", "schedule:") + schedule.map { "$it" } + "" + "breaches:" + referee.breaches.map { "$it" }
+        Files.write(folder.resolve("summary.txt"), summary)
+        Files.write(folder.resolve("events.txt"), referee.events)
+    }
+
+    private fun logsOf(): List<Path> = (0 until options.nodes).map { folder.resolve("controller-$it.log") }.filter { Files.exists(it) }
+
+    private fun deleteFolder() {
+        folder.toFile().deleteRecursively()
+    }
+
+    private companion object {
+        const val MS = 1000
+        const val NANOS_PER_MS = 1_000_000L
+        const val TICK_MS = 200L
+        const val SETTLING_MS = 5_000L
+        const val LAST_TROUBLE_MS = 4_000L
+        const val SHORTEST_CALM_MS = 18_000L
+        const val LONGEST_CALM_MS = 60_000L
+        const val LONGEST_STALL_MS = 1_200L
+        const val HEALTH_TRIES = 30
+        const val HEALTH_PACE_MS = 700L
+        const val SHOWN = 6
+    }
+}
--- a/src/test/kotlin/copperglade/standin/LocalSite.kt
+++ b/src/test/kotlin/copperglade/standin/LocalSite.kt
@@ -25,7 +25,7 @@
 /** Three controllers on loopback with stand-ins around them, for trying things out by hand. Ends with the process. */
 private class LocalSite {
     private val loop = NettyEventLoop()
-    private val http = NettyHttpCaller(loop.group)
+    private val http = NettyHttpCaller(loop)
     private val specs = HashMap<JobId, JobSpec>()
     private val state = StandInState(loop)
     private var nextPort = FIRST_WORKER_PORT
@@ -50,8 +50,8 @@
     private fun member(node: Int) = MemberId("local-$node")
 
     fun start() {
-        NettyHttpServer(loop.group, SOCKETS, handler = rememberingJobs(state)).listen(STATE)
-        NettyHttpServer(loop.group, SOCKETS, handler = cloud).listen(CLOUD)
+        NettyHttpServer(loop, SOCKETS, handler = rememberingJobs(state)).listen(STATE)
+        NettyHttpServer(loop, SOCKETS, handler = cloud).listen(CLOUD)
         repeat(NODES) { Main.run(settings(it), Tuning()) }
         println("controllers: ${(0 until NODES).joinToString { "http://${client(it)}" }}")
     }
@@ -85,7 +85,7 @@
         )
         workers[machine.name] = worker
         loop.after(Duration.ZERO) { worker.start() }
-        Thread { NettyHttpServer(loop.group, SOCKETS, handler = worker).listen(endpoint) }.start()
+        Thread { NettyHttpServer(loop, SOCKETS, handler = worker).listen(endpoint) }.start()
     }
 
     private fun settings(node: Int) = PlatformSettings(
--- a/src/test/kotlin/copperglade/transport/SocketsTest.kt
+++ b/src/test/kotlin/copperglade/transport/SocketsTest.kt
@@ -25,21 +25,23 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** All held until the last is known: a port that is closed again may be given out once more. */
+internal fun freeEndpoints(number: Int): List<Endpoint> =
+    List(number) { ServerSocket(0) }.onEach { it.close() }.map { Endpoint("127.0.0.1", it.localPort) }
+
+internal fun freeEndpoint(): Endpoint = freeEndpoints(1).single()
+
 /** Real sockets on loopback: a fleet's workers must not take the sockets that everything else needs. */
 class SocketsTest {
-    /** All held until the last is known: a port that is closed again may be given out once more. */
-    private fun freePlaces(number: Int): List<Endpoint> =
-        List(number) { ServerSocket(0) }.onEach { it.close() }.map { Endpoint("127.0.0.1", it.localPort) }
-
     @Test
     fun `more peers than sockets are all answered, and only so many connections stay`() {
         val loop = NettyEventLoop()
         val limit = 4
-        val caller = NettyHttpCaller(loop.group, limit)
-        val places = freePlaces(20)
+        val caller = NettyHttpCaller(loop, limit)
+        val places = freeEndpoints(20)
         val answered = AtomicInteger()
         val all = CountDownLatch(2 * places.size)
-        places.forEach { NettyHttpServer(loop.group, 10) { _, responder -> responder.send(Reply(200)) }.listen(it) }
+        places.forEach { NettyHttpServer(loop, 10) { _, responder -> responder.send(Reply(200)) }.listen(it) }
         repeat(2) {
             loop.after(0.seconds) {
                 places.forEach { to ->
@@ -59,11 +61,11 @@
     @Test
     fun `a connection beyond the server's limit is told to come back later`() {
         val loop = NettyEventLoop()
-        val at = freePlaces(1).single()
+        val at = freeEndpoint()
         val held = ArrayList<Responder>()
-        val server = NettyHttpServer(loop.group, 10) { _, responder -> held += responder }
+        val server = NettyHttpServer(loop, 10) { _, responder -> held += responder }
         server.listen(at)
-        val caller = NettyHttpCaller(loop.group)
+        val caller = NettyHttpCaller(loop)
         val statuses = ArrayList<Int?>()
         val last = CountDownLatch(11)
         loop.after(0.seconds) {
@@ -83,9 +85,9 @@
     @Test
     fun `more callers than connections take turns, and none is refused for long`() {
         val loop = NettyEventLoop()
-        val at = freePlaces(1).single()
-        NettyHttpServer(loop.group, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(at)
-        val callers = List(CALLERS) { NettyHttpCaller(loop.group) }
+        val at = freeEndpoint()
+        NettyHttpServer(loop, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(at)
+        val callers = List(CALLERS) { NettyHttpCaller(loop) }
         val rounds = CALLERS * ROUNDS
         val answered = CountDownLatch(rounds)
 
@@ -105,16 +107,16 @@
     @Test
     fun `the status of a controller with four thousand machines reaches its peers`() {
         val loop = NettyEventLoop()
-        val (peers, users) = freePlaces(2)
+        val (peers, users) = freeEndpoints(2)
         val status = PeerWire.encode(statusOf(machines = 4000))
         assertTrue(status.size > NettyHttpServer.LONGEST_PROTOCOL_BODY)
         val received = ArrayList<PeerStatus?>()
-        NettyHttpServer(loop.group, CONNECTIONS, Main.LONGEST_PEER_MESSAGE) { request, responder ->
+        NettyHttpServer(loop, CONNECTIONS, Main.LONGEST_PEER_MESSAGE) { request, responder ->
             received += PeerWire.decode(request.body)
             responder.send(Reply(200))
         }.listen(peers)
-        NettyHttpServer(loop.group, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(users)
-        val caller = NettyHttpCaller(loop.group)
+        NettyHttpServer(loop, CONNECTIONS) { _, responder -> responder.send(Reply(200)) }.listen(users)
+        val caller = NettyHttpCaller(loop)
         val statuses = HashMap<Endpoint, Int?>()
         val both = CountDownLatch(2)
         loop.after(0.seconds) {
