--- a/src/main/kotlin/copperglade/coordination/Assigner.kt
+++ b/src/main/kotlin/copperglade/coordination/Assigner.kt
@@ -275,16 +275,7 @@
         fun holds(spec: JobSpec): Boolean = !room.kept &&
             if (preempts) room.holdsYielding(spec) else spec.request.fitsIn(room.free)
 
-        fun take(spec: JobSpec) {
-            room.free -= spec.request
-            // Room that was had by stopping lower work is gone from what that work could still yield.
-            var priority = room.yielding.lastIndex
-            while (room.free.cpus < 0.0 && priority > spec.priority.ordinal) {
-                room.free += room.yielding[priority]
-                room.yielding[priority] = Resources.ZERO
-                priority--
-            }
-        }
+        fun take(spec: JobSpec) = room.take(spec)
     }
 
     private fun zoneOf(block: BlockName) = block.text.substringBeforeLast('.')
--- a/src/main/kotlin/copperglade/coordination/BlockSummary.kt
+++ b/src/main/kotlin/copperglade/coordination/BlockSummary.kt
@@ -1,11 +1,9 @@
 package copperglade.coordination
 
 import copperglade.protocol.BlockRoom
-import copperglade.protocol.JobKind
 import copperglade.protocol.MachineRoom
 import copperglade.protocol.MachineType
 import copperglade.protocol.Moment
-import copperglade.protocol.Priority
 import copperglade.protocol.Resources
 import copperglade.storage.ImageRecord
 
@@ -43,7 +41,7 @@
             worthKeeping = health.isWorthKeeping(machine, now),
             idleMs = if (empty) now.ms - machine.emptySince.ms else 0,
             free = free,
-            yielding = preemptible(machine),
+            yielding = YieldingCapacity.of(machine.runs).byPriority,
             images = machine.cachedImages,
         )
     }
@@ -61,15 +59,6 @@
         return left
     }
 
-    /** What stopping the machine's array tasks would free, by their priority. Services are never preempted. */
-    private fun preemptible(machine: Machine): List<Resources> {
-        val byPriority = Array(Priority.entries.size) { Resources.ZERO }
-        for (run in machine.runs) {
-            if (run.spec.kind == JobKind.ARRAY && run.onMachine) byPriority[run.spec.priority.ordinal] += run.spec.request
-        }
-        return byPriority.asList()
-    }
-
     /** The images of the block's machines, as many as fit into a value of [limitBytes]. */
     fun imageRecord(limitBytes: Int): ImageRecord {
         var left = limitBytes
--- a/src/main/kotlin/copperglade/coordination/BoundDemand.kt
+++ b/src/main/kotlin/copperglade/coordination/BoundDemand.kt
@@ -36,7 +36,8 @@
     ): Map<Binding, BoundWork> {
         val bound = HashMap<Binding, BoundWork>()
         val waitingJobs = jobs.filter { it.spec != null && it.wantedTasks > it.assignments().size && !it.blocked }
-        if (waitingJobs.none { isBound(it.spec!!) || fragmented(it) }) return bound
+        val fragmentedJobs = waitingJobs.filterTo(HashSet()) { !isBoundToPlace(it, zoneOf) && fragmented(it) }
+        if (fragmentedJobs.isEmpty() && waitingJobs.none { isBound(it.spec!!) }) return bound
         val used = HashMap<TeamName, Double>()
         for (job in jobs) job.spec?.let { used.merge(it.team, job.assignments().size * it.request.cpus, Double::plus) }
         for (job in waitingJobs) {
@@ -44,7 +45,7 @@
             if (job.cancelled || job.complete || job.mistaken) continue
             val zone = spec.zone ?: if (spec.oneZone) zoneOf(job) else null
             val isFragmented = zone == null && spec.types == null
-            if (isFragmented && !fragmented(job)) continue
+            if (isFragmented && job !in fragmentedJobs) continue
             val waiting = if (isFragmented) 1 else job.wantedTasks - job.assignments().size
             val limit = teams[spec.team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
             val within = max(0.0, limit - (used[spec.team] ?: 0.0))
@@ -57,6 +58,12 @@
         return bound
     }
 
+    /** Whether there are machines that the job's tasks can't use. */
+    private fun isBoundToPlace(job: Job, zoneOf: (Job) -> String?): Boolean {
+        val spec = job.spec ?: return false
+        return spec.zone != null || spec.types != null || (spec.oneZone && zoneOf(job) != null)
+    }
+
     private fun isBound(spec: JobSpec) = spec.zone != null || spec.types != null || spec.oneZone
 
     /** CPUs of room that such work could have at once. */
--- a/src/main/kotlin/copperglade/coordination/CapacityTable.kt
+++ b/src/main/kotlin/copperglade/coordination/CapacityTable.kt
@@ -14,17 +14,16 @@
 class CapacityTable(private val replica: Replica, private val blockMap: BlockMap) {
     private class Reservation(val stamp: Stamp, val request: Resources)
 
-    class MachineCapacity(val block: BlockName, val machine: MachineRoom, var free: Resources, val yielding: Array<Resources>) {
-        /** The lowest priority of which something could be stopped here; -1: nothing could. */
-        private val lowestYielding = yielding.indexOfLast { it.cpus > 0.0 }
+    class MachineCapacity(val block: BlockName, val machine: MachineRoom, var free: Resources, yielding: List<Resources>) {
+        private val yielding = YieldingCapacity(yielding)
 
         /** Whether [spec] could be given room by stopping what is of lower priority. */
-        fun holdsYielding(spec: JobSpec): Boolean = lowestYielding > spec.priority.ordinal && spec.request.fitsIn(withYielding(spec))
+        fun holdsYielding(spec: JobSpec): Boolean =
+            yielding.hasBelow(spec.priority) && spec.request.fitsIn(yielding.withAllBelow(spec.priority, free))
 
-        private fun withYielding(spec: JobSpec): Resources {
-            var sum = free
-            for (lower in spec.priority.ordinal + 1..lowestYielding) sum += yielding[lower]
-            return sum
+        /** Takes room for a task of [spec]. What it has by stopping lower work is gone from what that work could still yield. */
+        fun take(spec: JobSpec) {
+            free = yielding.yieldInto(free - spec.request, spec.priority)
         }
 
         /** Kept for a task that doesn't fit yet: small ones must not take every piece of room that comes free. */
@@ -44,7 +43,7 @@
             for (machine in room.machines) {
                 val unconfirmed = unconfirmedReservations(machine.name, status.cursor)
                 val free = unconfirmed.fold(machine.free) { left, reservation -> left - reservation.request }
-                capacities += MachineCapacity(block, machine, free, machine.yielding.toTypedArray())
+                capacities += MachineCapacity(block, machine, free, machine.yielding)
             }
         }
         return capacities
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -51,7 +51,7 @@
     private val quiet = minOf(Replica.QUIET, staleness / READINGS_IN_STALENESS)
     private val profiles =
         ProfileStore(tuning.nearestProfiles, tuning.fittingSteps, tuning.fittingRate, tuning.profileCapacity)
-    private val replica = Replica(loop, store, readers = settings.peers.size + 1, quiet) { spec ->
+    private val replica = Replica(loop, store, readers = settings.peers.size + 1, quiet, longestCatchUp = staleness) { spec ->
         profiles.expectedRunS(spec.id, spec.load, spec.request) ?: spec.estimateS
     }
     private val leaseEndorsement = LeaseEndorsement(loop, http, store, settings.member, settings.peers)
--- a/src/main/kotlin/copperglade/coordination/DecisionLog.kt
+++ b/src/main/kotlin/copperglade/coordination/DecisionLog.kt
@@ -54,10 +54,11 @@
         if (log.isDebugEnabled) log.debug("action=answer machine={} token={} stops={} {}", machine, token, stops, right())
     }
 
-    /** The block of [task] follows it no more, since its record says that it is over or assigned elsewhere. */
-    fun forgotten(task: TaskId, state: RunState, machine: MachineName?) {
-        count(if (machine == null) "forget" else "forget_on_machine")
-        if (log.isDebugEnabled) log.debug("action=forget task={} state={} machine={} {}", task, state, machine, basis(task.job))
+    /** The block follows the task of [run] no more, since its record says that it is over or assigned elsewhere. */
+    fun forgotten(run: Run) {
+        count(if (run.onMachine) "forget_on_machine" else "forget")
+        if (!log.isDebugEnabled) return
+        log.debug("action=forget task={} state={} machine={} {}", run.task, run.state, run.machine?.name, basis(run.task.job))
     }
 
     /** The leader asks the state service to end [job]. */
--- a/src/main/kotlin/copperglade/coordination/DemandEstimate.kt
+++ b/src/main/kotlin/copperglade/coordination/DemandEstimate.kt
@@ -73,7 +73,7 @@
             val standing = job.assignments().size
             used.merge(spec.team, standing * spec.request.cpus, Double::plus)
             if (job.cancelled || job.complete || job.blocked || job.mistaken) continue
-            waiting.merge(spec.team, (job.wantedTasks - standing).coerceAtLeast(0) * spec.request.cpus, Double::plus)
+            waiting.merge(spec.team, (job.wantedTasks - standing) * spec.request.cpus, Double::plus)
         }
         return waiting.entries.sumOf { (team, cpus) ->
             val limit = teams[team]?.cpusMax?.takeIf { it > 0.0 } ?: Double.MAX_VALUE
--- a/src/main/kotlin/copperglade/coordination/Placer.kt
+++ b/src/main/kotlin/copperglade/coordination/Placer.kt
@@ -1,11 +1,9 @@
 package copperglade.coordination
 
 import copperglade.protocol.JobId
-import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.MachineType
 import copperglade.protocol.Moment
-import copperglade.protocol.Priority
 import copperglade.protocol.Resources
 import copperglade.protocol.TaskId
 import kotlin.time.Duration.Companion.seconds
@@ -24,18 +22,10 @@
 ) {
     private class Candidate(val machine: Machine, val type: MachineType, var free: Resources) {
         /** What stopping array tasks would free, by their priority; worked out once a round, for machines that are asked for it. */
-        private val yielding: Array<Resources> by lazy(LazyThreadSafetyMode.NONE) {
-            val byPriority = Array(Priority.entries.size) { Resources.ZERO }
-            for (run in machine.runs) if (mayYield(run) && !run.isPledged) byPriority[run.spec.priority.ordinal] += run.spec.request
-            byPriority
-        }
+        private val yielding by lazy(LazyThreadSafetyMode.NONE) { YieldingCapacity.of(machine.runs.filter { !it.isPledged }) }
 
         /** Whether a task of [spec] would fit once all lower work on the machine is stopped. */
-        fun holdsYielding(spec: JobSpec): Boolean {
-            var sum = free
-            for (lower in spec.priority.ordinal + 1 until yielding.size) sum += yielding[lower]
-            return spec.request.fitsIn(sum)
-        }
+        fun holdsYielding(spec: JobSpec): Boolean = spec.request.fitsIn(yielding.withAllBelow(spec.priority, free))
     }
 
     fun place(waiting: List<Run>, usable: List<Machine>, now: Moment) {
@@ -115,7 +105,7 @@
         var free = room.free
         val chosen = ArrayList<Run>()
         val candidates = room.machine.runs
-            .filter { mayYield(it) && !it.isPledged && it.spec.priority > run.spec.priority }
+            .filter { YieldingCapacity.mayYield(it) && !it.isPledged && it.spec.priority > run.spec.priority }
             .sortedWith(
                 compareBy<Run> { if (it.state == RunState.STOPPING) 0 else 1 }
                     .thenByDescending { it.spec.priority }
@@ -132,8 +122,5 @@
     private companion object {
         val PATIENCE = 2.seconds
         const val MOST_PLANS = 16
-
-        /** Services are never stopped for others. */
-        fun mayYield(run: Run): Boolean = run.onMachine && run.spec.kind == JobKind.ARRAY
     }
 }
--- a/src/main/kotlin/copperglade/coordination/RetryBackoff.kt
+++ b/src/main/kotlin/copperglade/coordination/RetryBackoff.kt
@@ -21,16 +21,16 @@
     private val trialsByJob = HashMap<JobId, Trials>()
 
     /** The pause before the next start of a task that has failed [failures] times. */
-    fun afterFailure(failures: Int): Duration = pause(failures)
+    fun afterFailure(failures: Int): Duration = min(FIRST_S * (1 shl min(failures, MOST_DOUBLINGS)), LONGEST_S).seconds
 
     /** The pause after a machine has refused a start: that says nothing of the task. */
-    fun afterRefusal(): Duration = pause(1)
+    fun afterRefusal(): Duration = afterFailure(1)
 
     /** A task of the mistaken job [job] has failed once more. */
     fun trialFailed(job: JobId, now: Moment) {
         val trials = trialsByJob.getOrPut(job) { Trials() }
         trials.failures++
-        trials.nextAt = now + pause(trials.failures)
+        trials.nextAt = now + afterFailure(trials.failures)
     }
 
     /** Whether a task of the mistaken job [job] may be tried again. */
@@ -41,8 +41,6 @@
         trialsByJob.remove(job)
     }
 
-    private fun pause(times: Int): Duration = min(FIRST_S * (1 shl min(times, MOST_DOUBLINGS)), LONGEST_S).seconds
-
     private companion object {
         const val FIRST_S = 1.0
         const val MOST_DOUBLINGS = 6
--- a/src/main/kotlin/copperglade/coordination/RunReconciler.kt
+++ b/src/main/kotlin/copperglade/coordination/RunReconciler.kt
@@ -67,7 +67,7 @@
 
     /** The record of its outcome stands; whatever its machine still reports of it is removed as an unknown task. */
     private fun forget(run: Run) {
-        context.decisions.forgotten(run.task, run.state, run.machine?.name)
+        context.decisions.forgotten(run)
         run.unbind()
         runs.remove(run)
     }
--- a/src/main/kotlin/copperglade/storage/Job.kt
+++ b/src/main/kotlin/copperglade/storage/Job.kt
@@ -63,8 +63,7 @@
     val startableSinceMs: Long get() = releasedAtMs ?: live?.value?.acceptedAtMs ?: 0
 
     /** Whether it fails wherever it runs, by what owners have recorded; a completed task has disproved that. */
-    val mistaken: Boolean get() = recordedAsMistaken && done.isEmpty
-    private var recordedAsMistaken = false
+    val mistaken: Boolean get() = done.isEmpty && workRecords.values.any { it.value.mistaken }
 
     /** How many of its tasks should be on machines now: all that are not done, or one on trial where it is [mistaken]. */
     val wantedTasks: Int get() = spec?.let { if (mistaken) MISTAKEN_TRIALS else it.tasks - done.cardinality() } ?: 0
@@ -104,7 +103,6 @@
         standing = null
         if (record == null) workRecords.remove(place) else workRecords[place] = record
         record?.let { done.or(it.value.done) }
-        recordedAsMistaken = workRecords.values.any { it.value.mistaken }
     }
 
     /**
--- a/src/main/kotlin/copperglade/storage/Replica.kt
+++ b/src/main/kotlin/copperglade/storage/Replica.kt
@@ -30,9 +30,6 @@
     val peerStatuses = ArrayList<ByteArray>()
 }
 
-/** A packed record: its stamp, and which pages it tells of. */
-class PackedRecord(val stamp: Stamp, val places: Set<JobPage>)
-
 fun interface ReplicaListener {
     fun changed(touched: Touched)
 }
@@ -49,8 +46,13 @@
     readers: Int = 1,
     /** How old what is known may become before something is asked, though nobody has asked for it. */
     private val quiet: Duration = QUIET,
+    /**
+     * So long after the last reading, changes that can't be read (one answer holds all of them, and there is no bound on its size) are no
+     * longer asked for: the records are loaded anew, by pages.
+     */
+    private val longestCatchUp: Duration = LONGEST_CATCH_UP,
     /** The ends of so many jobs are remembered; beyond them, the state service is asked. */
-    private val mostEnded: Int = EndedJobs.endsThatFitInto(Runtime.getRuntime().maxMemory()),
+    mostEnded: Int = EndedJobs.endsThatFitInto(Runtime.getRuntime().maxMemory()),
     /** How long a job's tasks are predicted to run, in seconds. */
     predictRunS: (JobSpec) -> Double = { it.estimateS },
 ) {
@@ -72,15 +74,18 @@
     /** Stamps of keys that are not there: a late event must not bring them back. */
     private val dropped = HashMap<String, Stamp>()
     private val listeners = ArrayList<ReplicaListener>()
-    private val packedRecordsByKey = HashMap<String, PackedRecord>()
+    private val packedRecordTable = PackedRecordTable()
     private var waiting = ArrayList<(Boolean) -> Unit>()
     private var pulling = false
     private var watching = false
     private var lastReading = Moment.NEVER
     private var takingTook = Duration.ZERO
 
+    /** Readings that failed one after the other. */
+    private var failedReadings = 0
+
     /** The packed records, by key. */
-    val packedRecords: Map<String, PackedRecord> get() = packedRecordsByKey
+    val packedRecords: Map<String, PackedRecord> get() = packedRecordTable.byKey
 
     var state = ReplicaState.LOADING
         private set
@@ -149,7 +154,7 @@
         blocks.clear()
         members.clear()
         images.clear()
-        packedRecordsByKey.clear()
+        packedRecordTable.clear()
         leader = null
         dropped.clear()
     }
@@ -166,8 +171,14 @@
             watching = false
             when (outcome) {
                 is ChangesOutcome.Received -> loop.after(pause()) { watch() }
-                ChangesOutcome.Failed -> loop.after(RETRY) { watch() }
-                ChangesOutcome.TooOld -> reload()
+                ChangesOutcome.Failed -> if (cannotCatchUp()) {
+                    reload(
+                        "changes since $cursor can't be read",
+                    )
+                } else {
+                    loop.after(RETRY) { watch() }
+                }
+                ChangesOutcome.TooOld -> reload("the service no longer has the changes since $cursor")
             }
         }
     }
@@ -179,6 +190,7 @@
         lastReading = sent
         store.changes(Keys.ROOT, cursor, wait) { outcome ->
             val began = loop.now()
+            failedReadings = if (outcome is ChangesOutcome.Received) 0 else failedReadings + 1
             logReading(outcome, sent)
             take(outcome)
             takingTook = (loop.now().ms - began.ms).milliseconds
@@ -203,9 +215,14 @@
         )
     }
 
-    private fun reload() {
+    /** Whether readings fail though the service answers other requests, for so long that nothing may be done on what is known. */
+    private fun cannotCatchUp() =
+        failedReadings >= MOST_FAILED_READINGS && loop.now() >= asOf + longestCatchUp && !store.isSilent()
+
+    private fun reload(why: String) {
         if (state == ReplicaState.LOADING) return
-        moveTo(ReplicaState.LOADING, "the service no longer has the changes since $cursor")
+        failedReadings = 0
+        moveTo(ReplicaState.LOADING, why)
         load(null, null)
     }
 
@@ -290,8 +307,8 @@
                 val job = job(parsed.job, touched)
                 if (stamp > job.liveStamp()) decoded { RecordCodec.decodeLive(value) }?.let { job.live = Stamped(it, stamp) }
             }
-            ParsedKey.Assignments -> putPackedRecord(key, value, stamp, AssignmentParts, touched)
-            is ParsedKey.Outcomes -> putPackedRecord(key, value, stamp, OutcomeParts(parsed.block), touched)
+            ParsedKey.Assignments -> packedRecordTable.put(key, value, stamp, AssignmentParts, TouchedJobs(touched))
+            is ParsedKey.Outcomes -> packedRecordTable.put(key, value, stamp, OutcomeParts(parsed.block), TouchedJobs(touched))
             is ParsedKey.Over -> rememberEnd(parsed.job, value, touched)
             is ParsedKey.Block -> if (newer(stamp, blocks[parsed.name])) {
                 touched.standing = true
@@ -325,8 +342,8 @@
         when (val parsed = decoded { Keys.parse(key) }) {
             null, is ParsedKey.Over, is ParsedKey.Room -> return
             is ParsedKey.Live -> editJob(parsed.job, touched) { if (older(it.live, stamp)) it.live = null }
-            ParsedKey.Assignments -> dropPackedRecord(key, stamp, AssignmentParts, touched)
-            is ParsedKey.Outcomes -> dropPackedRecord(key, stamp, OutcomeParts(parsed.block), touched)
+            ParsedKey.Assignments -> packedRecordTable.drop(key, stamp, AssignmentParts, TouchedJobs(touched))
+            is ParsedKey.Outcomes -> packedRecordTable.drop(key, stamp, OutcomeParts(parsed.block), TouchedJobs(touched))
             is ParsedKey.Block -> if (older(blocks[parsed.name], stamp)) {
                 touched.standing = true
                 blocks.remove(parsed.name)
@@ -344,33 +361,13 @@
         }
     }
 
-    /** Only what has changed in a packed record is read, and counts as touched. */
-    private fun putPackedRecord(key: String, value: JsonNode, stamp: Stamp, parts: PackedParts, touched: Touched) {
-        val before = packedRecordsByKey[key]
-        if (before != null && before.stamp >= stamp) return
-        val places = HashSet<JobPage>()
-        for ((name, part) in value.properties()) {
-            val place = JobPage.parse(name) ?: continue
-            places += place
-            val known = jobs[place.job]?.let { parts.present(it, place.page) }
-            // The same, or older than what stands in another packed record.
-            val version = decoded { RecordCodec.versionOf(part) } ?: continue
-            if (known != null && known.value.version >= version) continue
-            decoded { parts.set(job(place.job, touched), place.page, part, key) }
-        }
-        before?.places?.forEach { if (it !in places) removePart(key, it, parts, touched) }
-        packedRecordsByKey[key] = PackedRecord(stamp, places)
-    }
+    /** The jobs, for those who change them in a round of changes. */
+    private inner class TouchedJobs(private val touched: Touched) : JobRecords {
+        override fun present(id: JobId) = jobs[id]
 
-    private fun dropPackedRecord(key: String, stamp: Stamp, parts: PackedParts, touched: Touched) {
-        val before = packedRecordsByKey[key]?.takeIf { it.stamp < stamp } ?: return
-        before.places.forEach { removePart(key, it, parts, touched) }
-        packedRecordsByKey.remove(key)
-    }
+        override fun touch(id: JobId) = job(id, touched)
 
-    /** A part that has moved to another record meanwhile stays. */
-    private fun removePart(key: String, place: JobPage, parts: PackedParts, touched: Touched) = editJob(place.job, touched) {
-        if (parts.present(it, place.page)?.recordKey == key) parts.remove(it, place.page)
+        override fun edit(id: JobId, change: (Job) -> Unit) = editJob(id, touched, change)
     }
 
     private fun job(id: JobId, touched: Touched): Job {
@@ -403,6 +400,8 @@
         private val RETRY = 250.milliseconds
         private val WATCH_WAIT = 10.seconds
         val QUIET = 1500.milliseconds
+        private val LONGEST_CATCH_UP = 10.seconds
+        private const val MOST_FAILED_READINGS = 3
         private const val READING_SHARE = 0.5
         private const val REST = 8
         private val LONGEST_PAUSE = 200.milliseconds
--- a/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
@@ -38,8 +38,8 @@
     private val group = loop.group
     private val idle = HashMap<Endpoint, ArrayDeque<Exchange>>()
 
-    /** The same connections, longest idle first, and since when. */
-    private val idleSince = LinkedHashMap<Exchange, Long>()
+    /** The same connections, by how long they have been idle. */
+    private val idleConnections = IdleConnections<Exchange>()
     private var open = 0
 
     /** Open or being opened. */
@@ -68,27 +68,25 @@
     /** Makes room for a further connection by closing the one that has been idle for longest. */
     private fun mayOpen(): Boolean {
         if (open < connectionLimit) return true
-        val longest = idleSince.keys.firstOrNull { it.to !in always } ?: return false
+        val longest = idleConnections.longest { it.to !in always } ?: return false
         unlist(longest)
         longest.channel.close()
         return open < connectionLimit
     }
 
     private fun list(exchange: Exchange) {
-        val now = System.nanoTime()
         idle.getOrPut(exchange.to) { ArrayDeque() }.addLast(exchange)
-        idleSince[exchange] = now
+        idleConnections.add(exchange)
         // Machines come and go by the hundred, and one without power never closes its connection.
         while (true) {
-            val (longest, since) = idleSince.entries.first()
-            if (now - since < LONGEST_IDLE_NANOS) break
+            val longest = idleConnections.longest(LONGEST_IDLE_NANOS) ?: break
             unlist(longest)
             longest.channel.close()
         }
     }
 
     private fun unlist(exchange: Exchange) {
-        idleSince.remove(exchange)
+        idleConnections.remove(exchange)
         val pool = idle[exchange.to] ?: return
         pool.remove(exchange)
         if (pool.isEmpty()) idle.remove(exchange.to)
@@ -131,7 +129,7 @@
                     channel
                         .pipeline()
                         .addLast(HttpClientCodec())
-                        .addLast(HttpObjectAggregator(LONGEST_ANSWER))
+                        .addLast(HttpObjectAggregator(longestAnswer))
                         .addLast(exchange)
                 }
             })
@@ -222,7 +220,17 @@
     }
 
     companion object {
-        private const val LONGEST_ANSWER = 16 * 1024 * 1024
+        private const val PART_OF_HEAP = 16
+        private const val SHORTEST_LIMIT = 4 * 1024 * 1024
+
+        /**
+         * A sixteenth of the heap: an answer is held several times over while it is read as a tree. A larger one counts as none; the
+         * state service's changes after a long absence are the only answer without a bound.
+         */
+        private val longestAnswer = maxOf(
+            SHORTEST_LIMIT.toLong(),
+            Runtime.getRuntime().maxMemory() / PART_OF_HEAP,
+        ).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
         private const val LONGEST_IDLE_NANOS = 60_000_000_000L
         private val log = LoggerFactory.getLogger("http.caller")
     }
--- a/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpServer.kt
@@ -47,8 +47,8 @@
 ) {
     private var open = 0
 
-    /** Connections that wait for their next request, longest idle first, and since when. */
-    private val idleSince = LinkedHashMap<Channel, Long>()
+    /** Connections that wait for their next request. */
+    private val idle = IdleConnections<Channel>()
 
     /** Listens at [at], or with port 0 at any free port; returns where. */
     fun listen(at: Endpoint): Endpoint {
@@ -78,7 +78,7 @@
         open++
         channel.closeFuture().addListener {
             open--
-            idleSince.remove(channel)
+            idle.remove(channel)
         }
         channel
             .pipeline()
@@ -89,9 +89,8 @@
     }
 
     private fun closeLongestIdle() {
-        val (longest, since) = idleSince.entries.firstOrNull() ?: return
-        if (System.nanoTime() - since < SHORTEST_IDLE_NANOS) return
-        idleSince.remove(longest)
+        val longest = idle.longest(SHORTEST_IDLE_NANOS) ?: return
+        idle.remove(longest)
         longest.close()
     }
 
@@ -107,7 +106,7 @@
     private inner class Conversation(private val refused: Boolean) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(message)
-            idleSince.remove(context.channel())
+            idle.remove(context.channel())
             if (message.decoderResult().isFailure) {
                 answer(context.channel(), Reply(HttpStatus.BAD_REQUEST, UserWire.error("not HTTP")), keep = false)
                 return
@@ -145,7 +144,7 @@
     private fun answer(channel: Channel, reply: Reply, keep: Boolean) {
         if (!channel.isActive) return
         val written = channel.writeAndFlush(response(reply, keep))
-        if (keep) idleSince[channel] = System.nanoTime() else written.addListener(ChannelFutureListener.CLOSE)
+        if (keep) idle.add(channel) else written.addListener(ChannelFutureListener.CLOSE)
     }
 
     companion object {
--- /dev/null
+++ b/src/test/kotlin/copperglade/sim/CatchUpTest.kt
@@ -0,0 +1,46 @@
+package copperglade.sim
+
+import copperglade.protocol.JobId
+import copperglade.transport.Method
+import copperglade.transport.Reply
+import copperglade.transport.Request
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * The state service answers with all changes since a revision at once, however many. A controller that was away while a large fleet went
+ * on can't take such an answer in; it must come back all the same, by loading the records in pages.
+ */
+class CatchUpTest {
+    private fun SimSite.awayForLong(node: Int) {
+        repeat(30) { number -> sim.after(number * 1_500.0) { submit(SimSite.job(number, tasks = 6, etaS = 10.0)) { 10.0 } } }
+        run(15.0)
+        cutController(node)
+        run(35.0)
+        var refused = 0
+        network.tamperAnswer = { passage, request, reply ->
+            val tooLarge = passage.to == "lorry-$node" && request.path.startsWith("/changes") && reply.body.size > LONGEST_ANSWER
+            if (tooLarge) refused++
+            if (tooLarge) Reply(GATEWAY_TIMEOUT) else reply
+        }
+        heal()
+        run(20.0)
+        assertTrue(refused > 0, "every answer was small enough")
+    }
+
+    @Test
+    fun `a controller that can't take in what it missed loads the records anew`() {
+        val site = SimSite(Simulation(81))
+        site.awayForLong(node = 1)
+        var answered = 0
+        site.requestAt(1, Request(Method.GET, "/submissions/${JobId("job-1")}")) { if (it?.status == 200) answered++ }
+        site.run(5.0)
+        assertTrue(answered > 0, "it knows nothing new for good")
+        site.assertKept()
+    }
+
+    private companion object {
+        const val LONGEST_ANSWER = 8_000
+        const val GATEWAY_TIMEOUT = 504
+    }
+}
--- a/src/test/kotlin/copperglade/soak/SoakOptions.kt
+++ b/src/test/kotlin/copperglade/soak/SoakOptions.kt
@@ -32,7 +32,8 @@
             }
             val usual = SoakOptions()
             val options = SoakOptions(
-                firstSeed = given.remove("seed")?.let { it.toLongOrNull() ?: throw BadSetting("seed: not a whole number") } ?: usual.firstSeed,
+                firstSeed =
+                    given.remove("seed")?.let { it.toLongOrNull() ?: throw BadSetting("seed: not a whole number") } ?: usual.firstSeed,
                 runs = given.whole("runs", RUNS) ?: usual.runs,
                 workers = given.whole("workers", WORKERS) ?: usual.workers,
                 nodes = given.whole("nodes", 3..5) ?: usual.nodes,
--- a/src/test/kotlin/copperglade/soak/SoakReferee.kt
+++ b/src/test/kotlin/copperglade/soak/SoakReferee.kt
@@ -78,7 +78,11 @@
         event("start $task on ${place.machine}")
         val job = jobs[task.job] ?: return breach("invented", "$task starts, and nobody submitted its job")
         val before = running.put(task, place)
-        if (before != null && before.incarnation !== place.incarnation) breach("ran_twice", "$task on ${before.machine} and ${place.machine}")
+        if (before != null &&
+            before.incarnation !== place.incarnation
+        ) {
+            breach("ran_twice", "$task on ${before.machine} and ${place.machine}")
+        }
         if (!job.spec.allows(place.type, place.zone, place.spot)) breach("wrong_place", "$task on ${place.machine} in ${place.zone}")
         predecessorsOf(job).firstOrNull { !it.complete }?.let { breach("too_early", "$task before ${it.spec.id} is done") }
         val used = running.keys.sumOf { jobs[it.job]?.spec?.request?.cpus ?: 0.0 }
--- a/src/test/kotlin/copperglade/soak/SoakRun.kt
+++ b/src/test/kotlin/copperglade/soak/SoakRun.kt
@@ -53,9 +53,18 @@
 
     private fun awaitHealthy(site: SoakSite): Boolean {
         repeat(HEALTH_TRIES) {
-            val healthy = java.util.concurrent.atomic.AtomicInteger()
+            val healthy = java.util.concurrent.atomic
+                .AtomicInteger()
             site.onLoop {
-                repeat(options.nodes) { node -> site.ask(node, Request(Method.GET, "/healthz")) { if (it?.status == 200) healthy.incrementAndGet() } }
+                repeat(options.nodes) { node ->
+                    site.ask(node, Request(Method.GET, "/healthz")) {
+                        if (it?.status ==
+                            200
+                        ) {
+                            healthy.incrementAndGet()
+                        }
+                    }
+                }
             }
             Thread.sleep(HEALTH_PACE_MS)
             if (healthy.get() == options.nodes) return true
@@ -87,7 +96,11 @@
     private fun awaitCalm(site: SoakSite) {
         val began = System.nanoTime()
         Thread.sleep(SHORTEST_CALM_MS)
-        while (System.nanoTime() - began < LONGEST_CALM_MS * NANOS_PER_MS && site.onLoop { site.referee.unfinished().isNotEmpty() }) Thread.sleep(TICK_MS)
+        while (System.nanoTime() - began < LONGEST_CALM_MS * NANOS_PER_MS &&
+            site.onLoop { site.referee.unfinished().isNotEmpty() }
+        ) {
+            Thread.sleep(TICK_MS)
+        }
     }
 
     private fun judge(site: SoakSite, schedule: List<Scheduled>, calmSince: Long): SoakResult {
@@ -96,7 +109,12 @@
         val fault = site.fault
         return when {
             fault != null -> result(site, schedule, Verdict.INCONCLUSIVE, "the harness itself failed: $fault")
-            longestStallMs > LONGEST_STALL_MS -> result(site, schedule, Verdict.INCONCLUSIVE, "the harness stood still for $longestStallMs ms")
+            longestStallMs > LONGEST_STALL_MS -> result(
+                site,
+                schedule,
+                Verdict.INCONCLUSIVE,
+                "the harness stood still for $longestStallMs ms",
+            )
             referee.breaches.isNotEmpty() -> result(site, schedule, Verdict.FAILED, referee.breaches.take(SHOWN).joinToString("; "))
             referee.starts == 0 || referee.jobs.values.none { it.complete } -> result(site, schedule, Verdict.FAILED, "no job ran")
             schedule.isEmpty() || site.network.disturbed == 0 -> result(site, schedule, Verdict.FAILED, "no trouble happened")
@@ -107,7 +125,9 @@
     private fun result(site: SoakSite, schedule: List<Scheduled>, verdict: Verdict, why: String): SoakResult {
         val referee = site.referee
         val ends = site.controllers.flatMap { it.ownEnds }
-        val refused = logsOf().sumOf { log -> Files.lines(log).use { lines -> lines.filter { "violation=" in it && " count=" in it }.count() } }
+        val refused = logsOf().sumOf { log ->
+            Files.lines(log).use { lines -> lines.filter { "violation=" in it && " count=" in it }.count() }
+        }
         val figures = "jobs ${referee.jobs.size}, done ${referee.jobs.values.count { it.told == "done" }}, " +
             "cancelled ${referee.jobs.values.count { it.told == "aborted" }}, starts ${referee.starts}, troubles ${schedule.size}, " +
             "messages disturbed ${site.network.disturbed}, own ends ${ends.size}${if (ends.isEmpty()) "" else " with status $ends"}, " +
@@ -121,7 +141,9 @@
     }
 
     private fun keep(referee: SoakReferee, schedule: List<Scheduled>, verdict: Verdict, why: String, figures: String) {
-        val summary = listOf("seed $seed: $verdict, $why", figures, "", "schedule:") + schedule.map { "$it" } + "" + "breaches:" + referee.breaches.map { "$it" }
+        val summary =
+            listOf("seed $seed: $verdict, $why", figures, "", "schedule:") + schedule.map { "$it" } + "" + "breaches:" +
+                referee.breaches.map { "$it" }
         Files.write(folder.resolve("summary.txt"), summary)
         Files.write(folder.resolve("events.txt"), referee.events)
     }
--- a/src/test/kotlin/copperglade/soak/SoakSite.kt
+++ b/src/test/kotlin/copperglade/soak/SoakSite.kt
@@ -23,11 +23,15 @@
 import copperglade.transport.Reply
 import copperglade.transport.Request
 import copperglade.transport.RequestHandler
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.Random
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -247,6 +251,22 @@
             "write_rps":50.0,"value_kb":4.0,"txn_ops":12},"cloud":{"rps":$CLOUD_RPS,"list_lag_s":0.5},
             "resources":{"fd_limit":1500}}"""
 
-        private fun freeEndpoints(number: Int): List<Endpoint> = copperglade.transport.freeEndpoints(number)
+        /** Below the ports that the system gives out by itself, so that nobody else is given one before its controller listens there. */
+        private val nextPort = AtomicInteger(FIRST_PORT + (ProcessHandle.current().pid() % PORT_RANGE).toInt())
+        private const val FIRST_PORT = 20_000
+        private const val PORT_RANGE = 10_000
+
+        private fun freeEndpoints(number: Int): List<Endpoint> =
+            generateSequence { nextPort.getAndIncrement() }
+                .filter(::isFree)
+                .take(number)
+                .map { Endpoint(HOST, it) }
+                .toList()
+
+        private fun isFree(port: Int) = try {
+            ServerSocket(port, 1, InetAddress.getByName(HOST)).use { true }
+        } catch (_: IOException) {
+            false
+        }
     }
 }
--- a/src/test/kotlin/copperglade/soak/SoakTroubles.kt
+++ b/src/test/kotlin/copperglade/soak/SoakTroubles.kt
@@ -23,7 +23,10 @@
 
     private fun SoakSite.someWorkers() = workers.keys.filter { random.nextInt(3) == 0 }.toSet()
 
-    private fun SoakSite.anyWorker(): String? = workers.keys.toList().takeIf { it.isNotEmpty() }?.let { it[random.nextInt(it.size)] }
+    private fun SoakSite.anyWorker(): String? = workers.keys
+        .toList()
+        .takeIf { it.isNotEmpty() }
+        ?.let { it[random.nextInt(it.size)] }
 
     private fun SoakSite.cutFor(ms: Int, pairs: List<Pair<String, String>>) {
         pairs.forEach { (one, other) -> network.cutBothWays(one, other) }
@@ -42,7 +45,16 @@
         Trouble("a controller ends") { _ -> crash(anyNode(), 100 + random.nextInt(3_000)) },
         Trouble("the leader ends") { _ -> crash(leaderOrAny(), 100 + random.nextInt(3_000)) },
         Trouble("all controllers end") { _ -> nodes().forEach { crash(it, 100 + random.nextInt(5_000)) } },
-        Trouble("leaders change in series") { ms -> repeat(4) { round -> later(round * ms / 4) { crash(leaderOrAny(), 100 + random.nextInt(900)) } } },
+        Trouble("leaders change in series") { ms ->
+            repeat(4) { round ->
+                later(round * ms / 4) {
+                    crash(
+                        leaderOrAny(),
+                        100 + random.nextInt(900),
+                    )
+                }
+            }
+        },
         Trouble("a controller stands still") { ms ->
             val paused = controllers[anyNode()]
             paused.pause()
@@ -72,7 +84,17 @@
             val node = anyNode()
             cutFor(ms, workers.keys.map { name(node) to it })
         },
-        Trouble("controllers can't reach each other") { ms -> cutFor(ms, nodes().flatMap { node -> nodes().filter { it < node }.map { name(node) to name(it) } }) },
+        Trouble("controllers can't reach each other") { ms ->
+            cutFor(
+                ms,
+                nodes().flatMap { node ->
+                    nodes().filter { it < node }.map {
+                        name(node) to
+                            name(it)
+                    }
+                },
+            )
+        },
         Trouble("transactions are carried out late, without an answer") { ms ->
             network.lateWriteOneIn = 6
             later(ms) { network.lateWriteOneIn = 0 }
--- a/src/test/kotlin/copperglade/soak/SoakUsers.kt
+++ b/src/test/kotlin/copperglade/soak/SoakUsers.kt
@@ -31,8 +31,16 @@
     private fun submit() {
         val number = ++submitted
         val service = number % SERVICE_ONE_IN == 0
-        val earlier = referee.jobs.values.filter { it.accepted && it.spec.kind != copperglade.protocol.JobKind.SERVICE }.takeLast(RECENT)
-        val awaits = if (service || random.nextInt(3) == 0) emptyList() else earlier.shuffled(random).take(random.nextInt(3)).map { it.spec.id }
+        val earlier = referee.jobs.values
+            .filter { it.accepted && it.spec.kind != copperglade.protocol.JobKind.SERVICE }
+            .takeLast(RECENT)
+        val awaits = if (service ||
+            random.nextInt(3) == 0
+        ) {
+            emptyList()
+        } else {
+            earlier.shuffled(random).take(random.nextInt(3)).map { it.spec.id }
+        }
         val most = 6 + site.options.workers / 10
         val spec = SimSite.job(number, tasks = 1 + random.nextInt(if (service) 3 else most), cpus = 2.0, service = service, etaS = 5.0)
         referee.jobs[spec.id] = SoakReferee.SeenJob(spec, awaits)
