--- a/src/main/kotlin/copperglade/app/Main.kt
+++ b/src/main/kotlin/copperglade/app/Main.kt
@@ -55,14 +55,18 @@
         fun run(settings: PlatformSettings, tuning: Tuning) {
             val shares = SocketShares.of(settings.socketLimit, settings.peers.size)
             val loop = NettyEventLoop()
+            val heapBytes = HeapBudget.bytes(settings.memoryMb, ProcessHeap)
             val always = settings.peers.mapTo(hashSetOf(settings.state, settings.cloud)) { it.endpoint }
-            val caller = NettyHttpCaller(loop, shares.workers, always)
-            val controller = Controller(loop, caller, settings, tuning)
+            val caller = NettyHttpCaller(loop, shares.workers, always, heapBytes)
+            val controller = Controller(loop, caller, settings, tuning, heapBytes)
             NettyHttpServer(loop, shares.users, handler = controller.clientHandler)
                 .listen(settings.clientListen)
             NettyHttpServer(loop, shares.peers, LONGEST_PEER_MESSAGE, controller.clusterHandler)
                 .listen(settings.clusterListen)
-            loop.after(Duration.ZERO) { controller.start() }
+            loop.after(Duration.ZERO) {
+                controller.start()
+                HeapWatch(loop, ProcessHeap, heapBytes).start()
+            }
         }
 
         /**
--- a/src/main/kotlin/copperglade/coordination/Controller.kt
+++ b/src/main/kotlin/copperglade/coordination/Controller.kt
@@ -11,6 +11,7 @@
 import copperglade.protocol.WorkerWire
 import copperglade.protocol.secondsSince
 import copperglade.storage.BudgetShare
+import copperglade.storage.EndedJobs
 import copperglade.storage.Replica
 import copperglade.storage.ReplicaState
 import copperglade.storage.StateClient
@@ -34,6 +35,8 @@
     caller: HttpCaller,
     private val settings: PlatformSettings,
     tuning: Tuning,
+    /** The bytes that the heap may take: bounds on what is only remembered follow from it. */
+    heapBytes: Long = Runtime.getRuntime().maxMemory(),
     /** Told of each action that the last check before it has refused: see [Violations]. */
     onViolation: (Violation) -> Unit = {},
 ) {
@@ -51,9 +54,17 @@
     private val quiet = minOf(Replica.QUIET, staleness / READINGS_IN_STALENESS)
     private val profiles =
         ProfileStore(tuning.nearestProfiles, tuning.fittingSteps, tuning.fittingRate, tuning.profileCapacity)
-    private val replica = Replica(loop, store, readers = settings.peers.size + 1, quiet, longestCatchUp = staleness) { spec ->
-        profiles.expectedRunS(spec.id, spec.load, spec.request) ?: spec.estimateS
-    }
+    private val replica =
+        Replica(
+            loop,
+            store,
+            readers = settings.peers.size + 1,
+            quiet,
+            longestCatchUp = staleness,
+            EndedJobs.endsThatFitInto(heapBytes),
+        ) { spec ->
+            profiles.expectedRunS(spec.id, spec.load, spec.request) ?: spec.estimateS
+        }
     private val leaseEndorsement = LeaseEndorsement(loop, http, store, settings.member, settings.peers)
     private val membership = Membership(
         loop,
--- a/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
+++ b/src/main/kotlin/copperglade/protocol/PlatformSettings.kt
@@ -65,6 +65,8 @@
     val cloudRps: Double,
     val listLagS: Double,
     val socketLimit: Int,
+    /** The machine's memory in MB; null where the platform doesn't tell. */
+    val memoryMb: Double? = null,
 ) {
     companion object {
         fun parse(bytes: ByteArray): PlatformSettings {
@@ -101,6 +103,7 @@
                 cloudRps = cloud.positive("rps"),
                 listLagS = cloud.amount("list_lag_s"),
                 socketLimit = deployment.section("resources").positive("fd_limit").toInt(),
+                memoryMb = deployment.section("resources").let { if (it.present("mem_mb") == null) null else it.positive("mem_mb") },
             )
             if (settings.cancelS <= settings.leaseS) {
                 throw BadSetting("deployment.workers.cancel_s: must be larger than lease_s")
--- a/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
+++ b/src/main/kotlin/copperglade/transport/NettyHttpCaller.kt
@@ -34,7 +34,14 @@
     private val connectionLimit: Int = Int.MAX_VALUE,
     /** Always to be reached, whatever the limit: there are few of them. */
     private val always: Set<Endpoint> = emptySet(),
+    heapBytes: Long = Runtime.getRuntime().maxMemory(),
 ) : HttpCaller {
+    /**
+     * A sixteenth of the heap: an answer is held several times over while it is read as a tree. A larger one counts as none; the
+     * state service's changes after a long absence are the only answer without a bound.
+     */
+    private val longestAnswer = (heapBytes / PART_OF_HEAP).coerceIn(SHORTEST_LIMIT, Int.MAX_VALUE.toLong()).toInt()
+
     private val group = loop.group
     private val idle = HashMap<Endpoint, ArrayDeque<Exchange>>()
 
@@ -221,16 +228,7 @@
 
     companion object {
         private const val PART_OF_HEAP = 16
-        private const val SHORTEST_LIMIT = 4 * 1024 * 1024
-
-        /**
-         * A sixteenth of the heap: an answer is held several times over while it is read as a tree. A larger one counts as none; the
-         * state service's changes after a long absence are the only answer without a bound.
-         */
-        private val longestAnswer = maxOf(
-            SHORTEST_LIMIT.toLong(),
-            Runtime.getRuntime().maxMemory() / PART_OF_HEAP,
-        ).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
+        private const val SHORTEST_LIMIT = 4L * 1024 * 1024
         private const val LONGEST_IDLE_NANOS = 60_000_000_000L
         private val log = LoggerFactory.getLogger("http.caller")
     }
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -186,9 +186,9 @@
         val loop = SimLoop(sim, drift = node * DRIFT)
         if (takesFaults) loop.guard = FaultBarrier { crash(node) }::run
         val its = if (outsideLimitS != null && node % 2 == 0) Tuning(stalenessLimit = outsideLimitS.seconds) else tuning
-        val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), its) { violation ->
+        val controller = Controller(loop, network.callerOf(name(node), loop), settings(node), its, onViolation = { violation ->
             breach("invariant", "${violation.invariant}: ${violation.what}")
-        }
+        })
         controllers[node] = controller to loop
         network.listen(client(node), name(node), loop, controller.clientHandler)
         network.listen(cluster(node), name(node), loop, controller.clusterHandler)
