--- a/src/test/kotlin/copperglade/soak/SoakReferee.kt
+++ b/src/test/kotlin/copperglade/soak/SoakReferee.kt
@@ -1,6 +1,7 @@
 package copperglade.soak
 
 import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
 import copperglade.protocol.JobSpec
 import copperglade.protocol.TaskId
 
@@ -159,7 +160,7 @@
     fun unfinished(): List<JobId> =
         jobs.filterValues { it.accepted && !it.finished && (!it.spec.isService || isCalledOff(it)) }.keys.toList()
 
-    private val JobSpec.isService get() = kind == copperglade.protocol.JobKind.SERVICE
+    private val JobSpec.isService get() = kind == JobKind.SERVICE
 
     private companion object {
         const val DONE = "done"
--- a/src/test/kotlin/copperglade/soak/SoakUsers.kt
+++ b/src/test/kotlin/copperglade/soak/SoakUsers.kt
@@ -1,6 +1,7 @@
 package copperglade.soak
 
 import copperglade.protocol.JobId
+import copperglade.protocol.JobKind
 import copperglade.protocol.Json
 import copperglade.protocol.text
 import copperglade.sim.SimSite
@@ -32,7 +33,7 @@
         val number = ++submitted
         val service = number % SERVICE_ONE_IN == 0
         val earlier = referee.jobs.values
-            .filter { it.accepted && it.spec.kind != copperglade.protocol.JobKind.SERVICE }
+            .filter { it.accepted && it.spec.kind != JobKind.SERVICE }
             .takeLast(RECENT)
         val awaits = if (service ||
             random.nextInt(3) == 0
@@ -105,7 +106,7 @@
 
     /** Services run until they are cancelled: all of them, for the end. */
     fun cancelServices() = referee.jobs
-        .filterValues { it.spec.kind == copperglade.protocol.JobKind.SERVICE && it.accepted && !it.finished && !it.cancelAsked }
+        .filterValues { it.spec.kind == JobKind.SERVICE && it.accepted && !it.finished && !it.cancelAsked }
         .keys
         .forEach(::cancel)
 
