--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -59,6 +59,10 @@
     private boolean changed = true;
     private int target;
     private int port;
+    private int life;
+    private boolean off;
+    private boolean cut;
+    private long answeredNanos = System.nanoTime();
 
     Worker(Cloud.Machine machine, String type, double cpus, Sites.Settings settings, World world) {
         this.machine = machine;
@@ -90,6 +94,36 @@
         return target;
     }
 
+    /** The machine loses power and is back after a moment; its worker counts from the start again. */
+    void reboot(long offMs) {
+        synchronized (this) {
+            off = true;
+            life++;
+            wipe("power");
+            images.clear();
+            shift = 1;
+            tally = 0;
+            baton = 0;
+        }
+        Sites.sleep(offMs);
+        synchronized (this) {
+            off = false;
+            leaseFromNanos = System.nanoTime();
+            changed = true;
+        }
+    }
+
+    /** Cuts the machine off the network, or ends that. What is sent to it meanwhile is held back. */
+    synchronized void setCut(boolean cut) {
+        this.cut = cut;
+        notifyAll();
+    }
+
+    /** Milliseconds since the last answer to a report that renewed the lease. */
+    synchronized long answeredMsAgo() {
+        return (System.nanoTime() - answeredNanos) / 1_000_000;
+    }
+
     /** The CPUs that no task takes or waits for here. */
     synchronized double freeCpus() {
         return cpus - tasks.stream().filter(t -> !t.status.equals("ended")).mapToDouble(t -> t.cpus).sum();
@@ -114,7 +148,7 @@
             long sinceMs = (System.nanoTime() - lastNanos) / 1_000_000;
             boolean due;
             synchronized (this) {
-                due = sinceMs >= (changed ? 500 : settings.reportS * 1000);
+                due = !off && !cut && sinceMs >= (changed ? 500 : settings.reportS * 1000);
             }
             if (!due) {
                 Sites.sleep(20);
@@ -123,9 +157,11 @@
             lastNanos = System.nanoTime();
             long sentNanos = lastNanos;
             long sentShift;
+            int sentLife;
             String body;
             int to;
             synchronized (this) {
+                sentLife = life;
                 changed = false;
                 sentShift = shift;
                 tally++;
@@ -133,7 +169,11 @@
                 to = target;
             }
             Http.Reply reply = client.call(settings.clientPorts[to], "POST", "/checkin", body, 4000);
-            if (!answered(reply, sentNanos, sentShift)) {
+            boolean lost;
+            synchronized (this) {
+                lost = cut || sentLife != life;
+            }
+            if (!lost && !answered(reply, sentNanos, sentShift)) {
                 Sites.sleep(1000);
                 lastNanos = 0;
             }
@@ -147,6 +187,7 @@
             Long token = (Long) body.get("baton");
             if (sentShift != shift || token == null || token < baton) return true;
             leaseFromNanos = Math.max(leaseFromNanos, sentNanos);
+            answeredNanos = System.nanoTime();
             see(token);
             execute(body, "answer");
             return true;
@@ -172,8 +213,9 @@
     }
 
     @Override
-    public synchronized Http.Reply handle(Http.Request request) {
-        if (!alive) return null;
+    public synchronized Http.Reply handle(Http.Request request) throws InterruptedException {
+        while (cut) wait();
+        if (!alive || off) return null;
         if (request.path().equals("/status")) {
             tally++;
             return new Http.Reply(200, body());
