A restarted machine's lease counts from its own beginning, per started task

Cause: the owner told a worker's incarnations apart by epoch and sequence number alone. A restarted worker begins with epoch 1 again and has a lease of its own; the owner reckoned from the last heartbeat that it had acknowledged to the former incarnation. Order: heartbeat acknowledged, power lost and back, start executed in the new incarnation, network lost before a heartbeat of it is acknowledged. Broken invariant: a run is released only when its task is certainly on no machine.

The same assumption in other places, with orders of their own: - The reply to the start is lost, so that the owner never hears of the restart: counting from the noticed restart isn't enough. - The former incarnation's last heartbeat arrives after the restart with a higher number than all received ones. It was believed, the running task was missing in it, and was started elsewhere. - A run that was confirmed and then missing was released although a copy of its start was still unresolved. - A reported fencing token that falls within an epoch (only possible after a restart) did not end the fence.

Fix: each run knows the latest time at which a direct start may have begun it (when the command was answered or timed out); the incarnation that executed it began before that. At the end of the machine's lease such runs stay bound until a lease from that time has expired, all others are released as before. A noticed restart renews the reckoning of the machine's lease. After a restart every heartbeat of the former epochs is unverified, whatever its number. No start is sent directly while direct commands go unanswered (a message without commands asks instead, and starts still go with heartbeat responses), so unanswered copies can't extend the time without end; this also ends a second direct command beside the one in flight. Why it works: a task exists only in an incarnation that executed its start, and no incarnation outlives its last acknowledged heartbeat and its own beginning by more than a lease.

The soak on real processes knows the same meeting now: machines that are back at once, and then cut off for longer than a lease.

--- a/src/main/kotlin/copperglade/agents/MachineTracker.kt
+++ b/src/main/kotlin/copperglade/agents/MachineTracker.kt
@@ -5,6 +5,7 @@
 import copperglade.protocol.MonotonicTime
 import copperglade.tasks.HeartbeatTimeouts
 import copperglade.tasks.Machine
+import copperglade.tasks.Run
 import copperglade.tasks.RunLifecycle
 import copperglade.tasks.ShardState
 import copperglade.transport.Clock
@@ -70,19 +71,36 @@
         if (heartbeat == null || heartbeat.machine != name || !removedMachines.isRemoved(name)) return
         log.info("machine_returned machine={} epoch={}", name, heartbeat.epoch)
         val removedEpoch = removedMachines.removalEpochOf(name)
-        receive(heartbeat).sequence.markUnverifiedUpTo(removedEpoch, Long.MAX_VALUE)
+        receive(heartbeat).sequence.markUnverified(removedEpoch)
         removedMachines.remove(name)
     }
 
-    /** Removes machines whose leases have certainly expired: their workers have terminated all tasks. */
+    /**
+     * Removes machines whose leases have certainly expired: their workers have terminated all tasks.
+     *
+     * A worker may have restarted unnoticed since its last acknowledged heartbeat, with a lease of its own. Such a worker can only have
+     * tasks that were started after that. Their runs stay bound until the lease of any incarnation that may have started them has expired.
+     */
     fun removeExpired(now: MonotonicTime) {
         for (machine in machines.values.toList()) {
             if (now < machine.leaseRenewedAt + timeouts.maxLease) continue
-            log.info("machine_lease_expired machine={} tasks_lost={}", machine.name, machine.runs.size)
-            remove(machine)
+            val (outlasting, lost) = machine.runs.partition { mayRunInLaterIncarnation(it, machine, now) }
+            if (lost.isNotEmpty() || outlasting.isEmpty()) {
+                log.info("machine_lease_expired machine={} tasks_lost={} tasks_outlasting={}", machine.name, lost.size, outlasting.size)
+            }
+            if (outlasting.isEmpty()) remove(machine) else releaseLost(machine, lost)
         }
     }
 
+    private fun mayRunInLaterIncarnation(run: Run, machine: Machine, now: MonotonicTime): Boolean =
+        now < run.startedNoLaterThan + timeouts.maxLease || machine.channel.hasStartInFlight(run.task, run.attempt)
+
+    private fun releaseLost(machine: Machine, lost: List<Run>) {
+        // A heartbeat of this agent epoch is a late one, or from a worker that has restarted.
+        machine.sequence.markUnverified(machine.epoch)
+        lost.forEach { lifecycle.release(it, "lease of ${machine.name} expired") }
+    }
+
     /** Removes a machine that the cloud has deleted. */
     fun onDeleted(machine: Machine) {
         remove(machine)
@@ -113,7 +131,7 @@
         machine.onWorkerRestarted(heartbeat, clock.now())
         for (run in machine.runs.toList()) {
             if (machine.channel.hasUnresolvedStart(run.task, run.attempt)) {
-                run.restartAttempt(clock.now())
+                lifecycle.restartAttempt(run)
             } else {
                 lifecycle.release(run, "worker of ${machine.name} restarted")
             }
--- a/src/main/kotlin/copperglade/agents/ShardAgents.kt
+++ b/src/main/kotlin/copperglade/agents/ShardAgents.kt
@@ -53,7 +53,7 @@
     private val exitHandler = TaskExitHandler(state, lifecycle, outcomes, backoff, clusterData.failingJobs, profileRecorder, loop)
 
     /** Updates the runs from the workers' reports. */
-    val reportReconciler = TaskReportReconciler(state, lifecycle, stopper, commands, exitHandler, clusterData.types, guard)
+    val reportReconciler = TaskReportReconciler(state, lifecycle, stopper, commands, exitHandler, clusterData.types, guard, loop)
     private val machineHistory = MachineHistory(clusterData.profiles, clusterData.failureEvidence)
 
     /** Tracks the machines of the shard. */
--- a/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
+++ b/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
@@ -11,6 +11,7 @@
 import copperglade.tasks.RunState
 import copperglade.tasks.ShardState
 import copperglade.tasks.StopReason
+import copperglade.transport.Clock
 
 /**
  * Updates a shard's runs from the tasks that the workers report.
@@ -26,6 +27,7 @@
     private val exitHandler: TaskExitHandler,
     private val types: MachineTypeCatalog,
     private val guard: ActionGuard,
+    private val clock: Clock,
 ) {
     /** Updates the runs from the report of the fenced [machine]'s worker, and sends the worker the commands that are due. */
     fun reconcile(machine: Machine) {
@@ -43,6 +45,7 @@
         if (run.state != RunState.MISSING) return
         if (reported.state == ReportedTaskState.EXITED && reported.cause != ExitCause.DONE) return
         run.bind(machine, reported.attempt)
+        run.startedNoLaterThan = clock.now()
         run.confirmedByWorker = true
         lifecycle.transition(run, RunState.STARTING, "found on ${machine.name}")
         if (guard.isCancelled(reported.task.job)) stopper.stop(run, StopReason.CANCELLED)
@@ -63,14 +66,18 @@
         }
     }
 
-    /** Handles an accepted heartbeat of [machine] that doesn't report [run], which is bound to the machine. */
+    /**
+     * Handles an accepted heartbeat of [machine] that doesn't report [run], which is bound to the machine. A run that was reported before
+     * has been lost in a restart of the worker. It stays bound while a late copy of its start may still take effect.
+     */
     private fun onNotReported(run: Run, machine: Machine) {
+        val startUnresolved = machine.channel.hasUnresolvedStart(run.task, run.attempt)
         when {
+            run.confirmedByWorker && startUnresolved -> lifecycle.restartAttempt(run)
             run.confirmedByWorker -> lifecycle.release(run, "no longer reported")
             run.state != RunState.STOPPING -> Unit
             // The start was answered or never sent, and the worker does not have the task.
-            !machine.channel.commandInFlight && !machine.channel.hasUnresolvedStart(run.task, run.attempt) ->
-                lifecycle.release(run, "start had no effect")
+            !machine.channel.commandInFlight && !startUnresolved -> lifecycle.release(run, "start had no effect")
         }
     }
 }
--- a/src/main/kotlin/copperglade/agents/UnresolvedStarts.kt
+++ b/src/main/kotlin/copperglade/agents/UnresolvedStarts.kt
@@ -37,6 +37,19 @@
     /** Drops [starts] after the worker has answered their message: it was executed, or no copy of it can be executed any more. */
     fun resolve(machine: Machine, starts: List<UnresolvedStart>) = machine.channel.resolve(starts)
 
+    /**
+     * Records that the direct command with [starts] was answered by [machine], or timed out. The command was sent on a connection that is
+     * closed by now, so only a worker that was running before now may have executed it.
+     */
+    fun recordCommandEnded(machine: Machine, starts: List<UnresolvedStart>) {
+        val now = clock.now()
+        for (start in starts) {
+            start.recordCommandEnded()
+            val run = state.runs[start.task]?.takeIf { it.attempt == start.attempt && it.machine === machine }
+            run?.startedNoLaterThan = now
+        }
+    }
+
     /** Drops starts that were sent with a heartbeat response that the worker would ignore if it arrived at [now]. */
     fun discardExpired(now: MonotonicTime) = state.machines.values.forEach { it.channel.discardExpired(now) }
 
--- a/src/main/kotlin/copperglade/agents/WorkerCommands.kt
+++ b/src/main/kotlin/copperglade/agents/WorkerCommands.kt
@@ -39,12 +39,21 @@
     fun sendDue(machine: Machine) {
         if (!state.isOpen || machine.channel.commandInFlight || machine.deleting || !membership.mayAct) return
         if (!state.isFenced(machine)) return sendFencingToken(machine)
-        if (machine.channel.unresponsive) sendFencingToken(machine)
         releaseNeverSent(machine)
-        val commands = planner.dueCommands(machine)
-        if (commands.any { it !is Command.Remove }) send(machine, commands)
+        val commands = planner.dueCommands(machine).filter { mayBeSent(it, machine) }
+        if (commands.any { it !is Command.Remove }) {
+            send(machine, commands)
+        } else if (machine.channel.unresponsive) {
+            sendFencingToken(machine)
+        }
     }
 
+    /**
+     * No start is sent directly while direct commands go unanswered: each might be executed by an incarnation of the worker that this owner
+     * has not heard of, and the task would have to be counted as running until that incarnation's lease has expired.
+     */
+    private fun mayBeSent(command: Command, machine: Machine): Boolean = command !is Command.Start || !machine.channel.unresponsive
+
     /** Releases the runs that were stopped before their start was sent: their tasks can't be on [machine]. */
     private fun releaseNeverSent(machine: Machine) {
         for (run in machine.runs.toList()) {
@@ -71,6 +80,7 @@
     }
 
     private fun onReply(machine: Machine, reply: CommandReply, starts: List<UnresolvedStart>, sentAt: MonotonicTime) {
+        unresolvedStarts.recordCommandEnded(machine, starts)
         when (reply) {
             CommandReply.TimedOut -> machine.channel.recordCommandTimedOut(clock::now)
             is CommandReply.Answered -> {
--- a/src/main/kotlin/copperglade/tasks/CommandChannel.kt
+++ b/src/main/kotlin/copperglade/tasks/CommandChannel.kt
@@ -11,7 +11,8 @@
  * fencing token match those of the command.
  *
  * @param epoch the agent epoch for which the command was sent.
- * @param expiresAt from when on the worker drops a command that arrives late; null if the command may take effect at any later time.
+ * @param expiresAt from when on the worker drops a command that arrives late; null for a direct command, which may take effect at any
+ *   later time.
  */
 class UnresolvedStart(
     val task: TaskId,
@@ -20,7 +21,16 @@
     val fencingToken: FencingToken,
     val sentAt: MonotonicTime,
     val expiresAt: MonotonicTime?,
-)
+) {
+    /** Whether this start was sent with a direct command that is neither answered nor timed out. */
+    var inFlight = expiresAt == null
+        private set
+
+    /** Records that the direct command was answered or has timed out. */
+    fun recordCommandEnded() {
+        inFlight = false
+    }
+}
 
 /** The commands sent to a machine's worker: the direct command in flight, removals, and starts whose outcome is unknown. */
 class CommandChannel {
@@ -80,6 +90,12 @@
     /** Whether a start of [attempt] at [task] is unresolved, so that a late copy of the start may still take effect. */
     fun hasUnresolvedStart(task: TaskId, attempt: Attempt): Boolean = unresolved.any { it.attempt == attempt && it.task == task }
 
+    /** Whether a direct command that starts [attempt] at [task] is in flight. */
+    fun hasStartInFlight(
+        task: TaskId,
+        attempt: Attempt,
+    ): Boolean = unresolved.any { it.inFlight && it.attempt == attempt && it.task == task }
+
     /** Adds [starts], which are being sent. */
     fun addUnresolved(starts: List<UnresolvedStart>) {
         unresolved += starts
--- a/src/main/kotlin/copperglade/tasks/HeartbeatSequence.kt
+++ b/src/main/kotlin/copperglade/tasks/HeartbeatSequence.kt
@@ -46,15 +46,19 @@
         accepted = heartbeat.position()
     }
 
-    /** Records that the worker has restarted and reset its numbers: all heartbeats up to the newest received one become unverified. */
+    /**
+     * Records that the worker has restarted and reset its numbers. All heartbeats of its former agent epochs become unverified: the last
+     * ones that it sent may still arrive, with higher numbers than all that were received.
+     */
     fun onWorkerRestarted() {
-        markUnverifiedUpTo(accepted.epoch, accepted.sequenceNumber)
-        markUnverifiedUpTo(lastHeartbeat.epoch, lastHeartbeat.sequenceNumber)
+        markUnverified(maxOf(accepted.epoch, lastHeartbeat.epoch))
         lastHeartbeat = START
     }
 
-    /** Marks heartbeats up to [epoch] and [sequenceNumber] as possibly from before the worker's restart. Never lowers the bound. */
-    fun markUnverifiedUpTo(epoch: Long, sequenceNumber: Long) {
+    /** Marks all heartbeats of agent epochs up to [epoch] as possibly from before the worker's restart. Never lowers the bound. */
+    fun markUnverified(epoch: Long) = markUnverifiedUpTo(epoch, Long.MAX_VALUE)
+
+    private fun markUnverifiedUpTo(epoch: Long, sequenceNumber: Long) {
         val bound = unverifiedUpTo
         if (epoch < bound.epoch || (epoch == bound.epoch && sequenceNumber <= bound.sequenceNumber)) return
         unverifiedUpTo = Position(epoch, sequenceNumber)
--- a/src/main/kotlin/copperglade/tasks/Machine.kt
+++ b/src/main/kotlin/copperglade/tasks/Machine.kt
@@ -41,7 +41,7 @@
     var endpoint = endpoint
         private set
 
-    /** The highest fencing token that the worker has reported. */
+    /** The fencing token in the newest accepted heartbeat or reply. It is lower than the one before only if the worker has restarted. */
     var fencingToken = FencingToken.NONE
         private set
 
@@ -63,7 +63,8 @@
 
     /**
      * The latest time at which the worker's lease may have started: when a heartbeat was last acknowledged, or when a new agent epoch
-     * was first reported, since each agent epoch begins with a lease.
+     * or a restart of the worker was first noticed, since both begin with a lease. A restart that nobody has noticed yet may have begun a
+     * later lease, which keeps only those tasks running that were started after the restart: see [Run.startedNoLaterThan].
      */
     var leaseRenewedAt = now
         private set
@@ -118,7 +119,7 @@
     /** Accepts [heartbeat] from a worker that has restarted and reset its agent epoch and sequence number. */
     fun onWorkerRestarted(heartbeat: Heartbeat, now: MonotonicTime) {
         sequence.onWorkerRestarted()
-        fencingToken = FencingToken.NONE
+        leaseRenewedAt = now
         apply(heartbeat, now)
     }
 
@@ -127,7 +128,7 @@
         lastUpdateAt = now
         if (heartbeat.epoch != epoch) leaseRenewedAt = now
         sequence.accept(heartbeat)
-        if (heartbeat.fencingToken > fencingToken) fencingToken = heartbeat.fencingToken
+        fencingToken = heartbeat.fencingToken
         load.updateReportedTasks(heartbeat.reportedTasks)
         evictionNoticed = heartbeat.evictionNoticeSeconds != null
         endpoint = heartbeat.endpoint
--- a/src/main/kotlin/copperglade/tasks/Run.kt
+++ b/src/main/kotlin/copperglade/tasks/Run.kt
@@ -97,6 +97,13 @@
     /** When the start of this attempt was last sent. */
     var startSentAt = MonotonicTime.NEVER
 
+    /**
+     * The latest time at which the worker may have started this attempt, as far as no direct start is in flight: when the last direct start
+     * was answered or timed out, or when the attempt was found on its machine. The task may run until the lease with which the worker's
+     * incarnation began has expired, and that incarnation began before this time.
+     */
+    var startedNoLaterThan = MonotonicTime.NEVER
+
     /** When the stop of this attempt was last sent. */
     var stopSentAt = MonotonicTime.NEVER
 
@@ -167,6 +174,7 @@
         confirmedByWorker = false
         runningSince = null
         startSentAt = MonotonicTime.NEVER
+        startedNoLaterThan = MonotonicTime.NEVER
         stopSentAt = MonotonicTime.NEVER
     }
 
--- a/src/main/kotlin/copperglade/tasks/RunLifecycle.kt
+++ b/src/main/kotlin/copperglade/tasks/RunLifecycle.kt
@@ -13,6 +13,9 @@
     /** Moves [run] to the state [next] as of now; no effect if the run is already in that state. */
     fun transition(run: Run, next: RunState, reason: String) = run.transitionTo(next, reason, clock.now())
 
+    /** Schedules another start of [run]'s attempt on its machine, whose worker has restarted. */
+    fun restartAttempt(run: Run) = run.restartAttempt(clock.now())
+
     /** Ends [run] with [outcome], either [RunState.DONE] or [RunState.GONE], and adds the outcome to the next batch of records. */
     fun finish(run: Run, outcome: RunState, reason: String) {
         transition(run, outcome, reason)
--- a/src/test/kotlin/copperglade/sim/SimMachines.kt
+++ b/src/test/kotlin/copperglade/sim/SimMachines.kt
@@ -63,9 +63,14 @@
     /** Cuts the power of the machine at [index]. The machine boots again within 0.7 s, and its worker's sequence numbers restart. */
     fun reboot(index: Int) {
         val name = workerNames.elementAtOrNull(index) ?: return
+        reboot(name, 100.0 + sim.random.nextInt(600))
+    }
+
+    /** Cuts the power of the machine [name]. The machine boots again after [offMillis], and its worker's sequence numbers restart. */
+    fun reboot(name: String, offMillis: Double) {
         val machine = machines.first { it.name == name }
         workersByName.remove(name)?.die()
-        sim.after(100.0 + sim.random.nextInt(600)) { if (!machine.gone) boot(machine) }
+        sim.after(offMillis) { if (!machine.gone) boot(machine) }
     }
 
     private fun boot(machine: StandInCloud.Machine) {
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -119,6 +119,8 @@
 
     fun workerNames(): List<String> = machines.workerNames.toList()
 
+    fun workerNamed(name: String): StandInWorker = machines.worker(name)
+
     fun workerCount() = machines.workers.size
 
     val machinesLaunched: Int get() = machines.cloud.launchedInAll
@@ -220,10 +222,11 @@
             priority: String = if (service) "urgent" else "normal",
             deadlineSeconds: Double? = if (service) null else 60.0,
             checkpointSeconds: Double = 0.0,
+            imageGb: Double = 1.5,
         ): JobSpec {
             val text = """{"nameId":"job-$number","load":"${if (service) "web" else "batch"}","crew":"$team",
                 "haul":"${if (service) "daemon" else "array"}","urgency":"$priority",
-                "boxes":$tasks,"vcpus":$cpus,"gpus":0.0,"memoryGb":1.0,"manifest":"img-$image","pullGb":1.5,"fleets":null,
+                "boxes":$tasks,"vcpus":$cpus,"gpus":0.0,"memoryGb":1.0,"manifest":"img-$image","pullGb":$imageGb,"fleets":null,
                 "depot":${zone?.let {
                 "\"$it\""
             }},"oneZone":$oneZone,"spread":$spread,"borrowed":$spot,"etaS":${if (service) 0.0 else estimatedSeconds},
--- a/src/test/kotlin/copperglade/sim/SimSiteFaults.kt
+++ b/src/test/kotlin/copperglade/sim/SimSiteFaults.kt
@@ -38,6 +38,9 @@
 /** Cuts the power of a machine, which boots again at once; its worker's sequence numbers restart. */
 fun SimSite.rebootMachine(index: Int) = machines.reboot(index)
 
+/** Cuts the power of the machine [name], which boots again after [offMillis]; its worker's sequence numbers restart. */
+fun SimSite.rebootMachineNamed(name: String, offMillis: Double) = machines.reboot(name, offMillis)
+
 /** Cuts a controller off from all hosts, or only from the state service (`state`) or the workers (`workers`). */
 fun SimSite.cutController(node: Int, from: String = "all") {
     val name = SimAddresses.controllerName(node)
@@ -67,6 +70,9 @@
     controllerNames().forEach { network.cut(it, workerName) }
 }
 
+/** Cuts the machine [name] off from all controllers. */
+fun SimSite.cutMachineNamed(name: String) = controllerNames().forEach { network.cut(it, name) }
+
 /** Cuts the machine off from all controllers but [node]. */
 fun SimSite.cutMachineFromOthers(index: Int, node: Int) {
     val workerName = machines.workerNames.elementAtOrNull(index) ?: return
--- a/src/test/kotlin/copperglade/soak/SoakFaults.kt
+++ b/src/test/kotlin/copperglade/soak/SoakFaults.kt
@@ -130,6 +130,15 @@
         },
         SoakFault("machines are gone") { _ -> repeat(2) { anyWorker()?.let(::killMachine) } },
         SoakFault("machines are back at once") { _ -> repeat(3) { anyWorker()?.let(::rebootMachine) } },
+        SoakFault("machines are back at once, and then cut off for longer than a lease") { ms ->
+            repeat(2) {
+                val worker = anyWorker() ?: return@SoakFault
+                rebootMachine(worker)
+                later(MIN_REBOOT_MS + random.nextInt(MAX_FAULT_MS / 4)) {
+                    cutFor(ms + LONGER_THAN_LEASE_MS, nodes().map { name(it) to worker })
+                }
+            }
+        },
         SoakFault("links are slow") { ms ->
             network.delayMs = { if (it.path == SoakNetwork.COMMAND || it.from == STATE) random.nextInt(900) else 0 }
             later(ms) { network.delayMs = { 0 } }
@@ -146,4 +155,6 @@
     private const val WAVE_MS = 8_000
     private const val MIN_FAULT_MS = 1_500
     private const val MAX_FAULT_MS = 9_000
+    private const val MIN_REBOOT_MS = 200
+    private const val LONGER_THAN_LEASE_MS = 7_000
 }
--- a/src/test/kotlin/copperglade/standin/StandInWorker.kt
+++ b/src/test/kotlin/copperglade/standin/StandInWorker.kt
@@ -84,6 +84,9 @@
     var hanging = false
     private val heldBack = ArrayList<() -> Unit>()
 
+    /** The milliseconds since this worker's lease began: since the last acknowledged heartbeat was sent, or since the epoch began. */
+    val leaseAgeMillis: Long get() = loop.now().millis - (answeredSentAt ?: epochBegan).millis
+
     /** Tasks that have their image and have not ended. */
     fun running(): List<TaskId> = held.filter { it.onMachine }.map { it.task }
 
