Scheduling rounds read the clock once; the simulation lets time pass in a decision

Cause: JobQueue.byPriority sorted with a comparator that asked the clock at each comparison whether a job's guarantee had run out (waitedSeconds <= guaranteeWithinSeconds). Order: a round begins to sort, a job within its guarantee is compared as such, its limit passes, the same job is compared as late. Broken invariant: a comparator gives the same answer for the same two jobs throughout a sort. The sort of the Java library may then throw, and FaultBarrier ends the process, as it should.

Fix: the queue of a round is built with the round's time and has no clock; waiting times, deadlines, shares of starving jobs and guarantees of the round are all as of that time. FragmentationCheck, which also asked the clock job by job, gets the scaling round's time. Why it works: nothing that a comparison reads can change while the event loop sorts.

Why no test saw it: the simulated clock stood still within an action. SimLoop can move it on with each reading now; what a process sends leaves when its clock has come that far, and it handles nothing else meanwhile. The soak counts a controller that ends by itself as failed, unless its heap was made too small on purpose.

--- a/src/main/kotlin/copperglade/fleet/Autoscaler.kt
+++ b/src/main/kotlin/copperglade/fleet/Autoscaler.kt
@@ -126,7 +126,7 @@
 
     /** Rents machines for work that only some machines can run, unless such machines are free or expected to come up. */
     private fun scaleOutForConstraints(capacities: Map<MachineName, MachineAvailability>, inventory: FleetInventory, now: MonotonicTime) {
-        val fragmentation = FragmentationCheck(loop, capacities.values)
+        val fragmentation = FragmentationCheck(capacities.values, loop.wallMillis())
         val demand = ConstrainedDemand.of(replica.jobs.values, settings.teams, reports::zoneOf, fragmentation::isFragmented)
         for ((constraint, work) in demand) {
             val isAllowed = { kind: MachineKind -> constraint.allows(kind.type, kind.zone, kind.spot) }
--- a/src/main/kotlin/copperglade/fleet/FragmentationCheck.kt
+++ b/src/main/kotlin/copperglade/fleet/FragmentationCheck.kt
@@ -3,10 +3,13 @@
 import copperglade.protocol.MachineAvailability
 import copperglade.protocol.Resources
 import copperglade.storage.Job
-import copperglade.transport.EventLoop
 
-/** Finds jobs whose tasks fit on none of the [machines] although the machines together have enough free capacity. */
-internal class FragmentationCheck(private val loop: EventLoop, private val machines: Collection<MachineAvailability>) {
+/**
+ * Finds jobs whose tasks fit on none of the [machines] although the machines together have enough free capacity.
+ *
+ * @param roundMillis the time of the scaling round, in wall-clock milliseconds.
+ */
+internal class FragmentationCheck(private val machines: Collection<MachineAvailability>, private val roundMillis: Long) {
     private data class ConstrainedRequest(val constraint: PlacementConstraint, val request: Resources)
 
     /** Results by constraint and request, which many jobs have in common. */
@@ -15,7 +18,7 @@
     /** Whether [job] has waited for [MIN_WAIT_MILLIS] and its tasks fit on no machine because free capacity is fragmented. */
     fun isFragmented(job: Job): Boolean {
         val spec = job.spec ?: return false
-        if (loop.wallMillis() < job.startableSinceMillis + MIN_WAIT_MILLIS) return false
+        if (roundMillis < job.startableSinceMillis + MIN_WAIT_MILLIS) return false
         val constraint = PlacementConstraint(spec.types, spec.zone, spec.spotAllowed)
         return results.getOrPut(ConstrainedRequest(constraint, spec.request)) { isFragmentedFor(constraint, spec.request) }
     }
--- a/src/main/kotlin/copperglade/scheduling/JobQueue.kt
+++ b/src/main/kotlin/copperglade/scheduling/JobQueue.kt
@@ -3,16 +3,20 @@
 import copperglade.protocol.JobId
 import copperglade.protocol.JobSpec
 import copperglade.protocol.TeamName
-import copperglade.transport.EventLoop
 
 /** A job in the queue of a scheduling round; at most [maxTasks] of the job's tasks are assigned for this entry. */
 internal class QueuedJob(val job: SchedulableJob, val maxTasks: Int)
 
 /**
- * Orders the waiting jobs of a scheduling round: urgent jobs first, then the shares of starving jobs ([StarvationPrevention]), then
+ * Orders the waiting jobs of one scheduling round: urgent jobs first, then the shares of starving jobs ([StarvationPrevention]), then
  * the rest by priority, guarantee and [DeadlinePlan].
+ *
+ * Invariant: all waiting times are as of the round's time. If they changed while the jobs are compared, two jobs could compare differently
+ * each time, and the sort would fail.
+ *
+ * @param roundMillis the time of the round, in wall-clock milliseconds.
  */
-internal class JobQueue(private val loop: EventLoop, private val policy: SchedulingPolicy) {
+internal class JobQueue(private val policy: SchedulingPolicy, private val roundMillis: Long) {
     private val objectives = policy.objectives
 
     /** Returns the order in which [waiting] jobs are assigned to machines with [poolCpus] CPUs in total. */
@@ -25,8 +29,8 @@
             others.filter { it !in withShare }.map { QueuedJob(it, MAX_TASKS_PER_JOB_PER_ROUND) }
     }
 
-    /** Returns the time since the job could first have been started. */
-    fun waitedSeconds(job: SchedulableJob): Double = (loop.wallMillis() - job.job.startableSinceMillis) / MILLIS_PER_SECOND
+    /** Returns the time since the job could first have been started, as of the round's time. */
+    fun waitedSeconds(job: SchedulableJob): Double = (roundMillis - job.job.startableSinceMillis) / MILLIS_PER_SECOND
 
     private fun byPriority(waiting: List<SchedulableJob>, poolCpus: Double): List<SchedulableJob> {
         val (withDeadline, withoutDeadline) = waiting.partition { it.deadline != null }
@@ -74,13 +78,13 @@
     private fun isFeasible(spec: JobSpec, dueInSeconds: Double) = dueInSeconds > spec.estimatedSeconds * FEASIBILITY_FACTOR
 
     /**
-     * Returns the times from now at which the job is due: one for each deadline multiple that the objectives name for the
-     * deadline's workload class.
+     * Returns the times from the round's time at which the job is due: one for each deadline multiple that the objectives name for
+     * the deadline's workload class.
      */
     private fun dueInSeconds(job: SchedulableJob): List<Double> {
         val deadline = job.deadline ?: return emptyList()
-        val nowMillis = loop.wallMillis()
-        return (objectives.deadlineMultiples[deadline.load] ?: DEFAULT_DEADLINE_MULTIPLES).map { deadline.dueInSeconds(it, nowMillis) }
+        val multiples = objectives.deadlineMultiples[deadline.load] ?: DEFAULT_DEADLINE_MULTIPLES
+        return multiples.map { deadline.dueInSeconds(it, roundMillis) }
     }
 
     private companion object {
--- a/src/main/kotlin/copperglade/scheduling/Scheduler.kt
+++ b/src/main/kotlin/copperglade/scheduling/Scheduler.kt
@@ -34,7 +34,6 @@
     private val policy: SchedulingPolicy,
 ) {
     private val writer = AssignmentWriter(loop, store, replica, leadership, capacityTable)
-    private val queue = JobQueue(loop, policy)
     private val selector = MachineSelector(types, capacityTable::zoneOf)
     private val guaranteePreemption = GuaranteePreemption(policy.teams)
 
@@ -56,10 +55,11 @@
         val capacity = RoundCapacity(capacityTable.capacities().filter { it.machine.usable })
         if (capacity.machines.isEmpty()) return
         val plan = AssignmentPlan()
-        planAssignments(waiting, usages, capacity, plan)
+        val queue = JobQueue(policy, loop.wallMillis())
+        planAssignments(queue.order(waiting, capacity.poolCpus), usages, capacity, plan)
         if (isFullRound && now >= lastGuaranteeCheckAt + GUARANTEE_PREEMPTION_INTERVAL) {
             lastGuaranteeCheckAt = now
-            planGuaranteePreemptions(jobs, usages, plan)
+            planGuaranteePreemptions(jobs, queue, usages, plan)
         }
         writer.write(plan)
     }
@@ -106,12 +106,12 @@
     }
 
     private fun planAssignments(
-        waiting: List<SchedulableJob>,
+        ordered: List<QueuedJob>,
         usages: Map<TeamName, TeamUsage>,
         capacity: RoundCapacity,
         plan: AssignmentPlan,
     ) {
-        for (queued in queue.order(waiting, capacity.poolCpus)) {
+        for (queued in ordered) {
             val job = queued.job
             val usage = usages[job.spec.team] ?: continue
             val choices = selector.select(job, usage, capacity, minOf(queued.maxTasks, job.unassignedTasks))
@@ -122,7 +122,12 @@
     }
 
     /** Plans to preempt tasks of teams beyond their guarantees where tasks within a team's guarantee have waited for capacity. */
-    private fun planGuaranteePreemptions(jobs: List<SchedulableJob>, usages: Map<TeamName, TeamUsage>, plan: AssignmentPlan) {
+    private fun planGuaranteePreemptions(
+        jobs: List<SchedulableJob>,
+        queue: JobQueue,
+        usages: Map<TeamName, TeamUsage>,
+        plan: AssignmentPlan,
+    ) {
         val planned = plan.choices.keys.mapTo(HashSet()) { it.job }
         val claims = jobs
             .filter {
--- a/src/test/kotlin/copperglade/sim/NetworkFaults.kt
+++ b/src/test/kotlin/copperglade/sim/NetworkFaults.kt
@@ -50,16 +50,18 @@
     var delayedMessages = 0
         private set
 
-    protected fun transmit(transmission: Transmission, deliver: () -> Unit) {
+    /** Transmits a message that its sender sends in [sentAfterMillis], when the decision in progress has come that far. */
+    protected fun transmit(transmission: Transmission, sentAfterMillis: Double, deliver: () -> Unit) {
         if (losesMessage(transmission)) {
             lostMessages++
-        } else {
-            transmit(transmission.from, transmission.to, delayMillis(transmission), deliver)
+            return
         }
+        val delayMillis = delayMillis(transmission)
+        if (delayMillis > 0.0) delayedMessages++
+        transmit(transmission.from, transmission.to, sentAfterMillis + delayMillis, deliver)
     }
 
     private fun transmit(from: String, to: String, additionalMillis: Double, deliver: () -> Unit) {
-        if (additionalMillis > 0.0) delayedMessages++
         sim.after(1.0 + sim.random.nextDouble() * 4.0 + additionalMillis) {
             if (from to to in cuts) heldMessages += HeldMessage(from, to, deliver) else deliver()
         }
--- a/src/test/kotlin/copperglade/sim/RandomFaultsTest.kt
+++ b/src/test/kotlin/copperglade/sim/RandomFaultsTest.kt
@@ -24,8 +24,21 @@
 
     @ParameterizedTest
     @MethodSource("seeds")
-    fun `no rule is broken by random compound faults`(seed: Long) {
-        val site = SimSite(Simulation(seed), nodes = if (seed % 3 == 0L) 5 else 3, scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0))
+    fun `no rule is broken by random compound faults`(seed: Long) = playFaults(seed, millisPerClockReading = 0.0)
+
+    /** Time passes within a decision, as on a real machine, so that two readings of the clock in one decision differ. */
+    @ParameterizedTest
+    @MethodSource("seedsWithMovingClocks")
+    fun `no rule is broken by random compound faults while decisions take time`(seed: Long) =
+        playFaults(seed, millisPerClockReading = if (seed % 2 == 0L) 0.02 else 0.2)
+
+    private fun playFaults(seed: Long, millisPerClockReading: Double) {
+        val site = SimSite(
+            Simulation(seed),
+            nodes = if (seed % 3 == 0L) 5 else 3,
+            scale = SiteScale(machinesPerZone = 4, teamCpus = 180.0),
+            millisPerClockReading = millisPerClockReading,
+        )
         val random = site.sim.random
         site.submitServices(5)
         repeat(24) { number ->
@@ -70,7 +83,11 @@
         @JvmStatic
         fun seeds(): LongStream = LongStream.range(1000, 1000 + SEED_COUNT)
 
+        @JvmStatic
+        fun seedsWithMovingClocks(): LongStream = LongStream.range(3000, 3000 + MOVING_CLOCK_SEED_COUNT)
+
         const val SEED_COUNT = 60L
+        const val MOVING_CLOCK_SEED_COUNT = 30L
         const val DEPENDENT_COUNT = 10
     }
 }
--- a/src/test/kotlin/copperglade/sim/SimControllers.kt
+++ b/src/test/kotlin/copperglade/sim/SimControllers.kt
@@ -11,6 +11,7 @@
  * The controller processes of a simulated site: the program's own controllers on simulated clocks and connections.
  *
  * @param faultsEndProcess whether an error in a decision terminates the controller, as it does a real process; otherwise the test fails.
+ * @param millisPerClockReading by how much a controller's clocks move on at each reading.
  */
 class SimControllers(
     private val sim: Simulation,
@@ -18,6 +19,7 @@
     private val settings: (node: Int) -> PlatformSettings,
     private val operatorSettings: (node: Int) -> OperatorSettings,
     private val faultsEndProcess: Boolean,
+    private val millisPerClockReading: Double,
     private val onViolation: (InvariantViolation) -> Unit,
 ) {
     private class Process(val controller: Controller, val loop: SimLoop)
@@ -28,6 +30,7 @@
     fun start(node: Int) {
         if (processes[node]?.loop?.alive == true) return
         val loop = SimLoop(sim, drift = node * CLOCK_DRIFT_PER_NODE)
+        loop.millisPerReading = millisPerClockReading
         if (faultsEndProcess) loop.guard = FaultBarrier { crash(node, RESTART_AFTER_MILLIS) }::run
         val name = SimAddresses.controllerName(node)
         val caller = network.callerOf(name, loop)
--- a/src/test/kotlin/copperglade/sim/SimNetwork.kt
+++ b/src/test/kotlin/copperglade/sim/SimNetwork.kt
@@ -70,7 +70,7 @@
                 return
             }
             val path = request.path.substringBefore('?')
-            transmit(Transmission(from, host.name, path, isAnswer = false)) { arrive(host, path, request) }
+            transmit(Transmission(from, host.name, path, isAnswer = false), loop.millisBusy) { arrive(host, path, request) }
         }
 
         private fun arrive(host: Host, path: String, request: Request) {
@@ -103,7 +103,7 @@
             val sent = tamperAnswer(back, request, reply)
             observe(WireStep.ANSWER_SENT, host.name, from, request, sent)
             if (path == HEARTBEAT && sent.status == OK) onCommandsSent(sent.body)
-            transmit(back) { loop.whenNotFrozen { finish(sent) } }
+            transmit(back, host.loop.millisBusy) { loop.whenNotFrozen { finish(sent) } }
         }
 
         private fun duplicate(request: Request) {
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -50,6 +50,8 @@
     endedBefore: Int = 0,
     /** Whether an error in a decision terminates the controller, as it does a real process; otherwise the test fails. */
     faultsEndProcess: Boolean = false,
+    /** By how much a controller's clocks move on at each reading, so that time passes within a decision. */
+    millisPerClockReading: Double = 0.0,
     /** Observes every message between the processes and users of this site. */
     wireObserver: WireObserver = WireObserver {},
 ) {
@@ -59,9 +61,10 @@
     private val referee = SiteReferee(sim, scale, otherTeam, ::workers)
     internal val machines = SimMachines(sim, network, externalLoop, scale, referee, slowMachine, nodes)
     private val simUsers = SimUsers(sim, network, externalLoop, nodes, referee)
-    internal val controllers = SimControllers(sim, network, ::settings, ::operatorSettingsOf, faultsEndProcess) { violation ->
-        referee.breach("invariant", "${violation.invariant}: ${violation.detail}")
-    }
+    internal val controllers =
+        SimControllers(sim, network, ::settings, ::operatorSettingsOf, faultsEndProcess, millisPerClockReading) { violation ->
+            referee.breach("invariant", "${violation.invariant}: ${violation.detail}")
+        }
 
     init {
         network.onCommandsSent = referee::checkCommands
--- a/src/test/kotlin/copperglade/sim/Simulation.kt
+++ b/src/test/kotlin/copperglade/sim/Simulation.kt
@@ -34,7 +34,12 @@
     }
 }
 
-/** The event loop of a simulated process. Its clock is fast by the fraction [drift]. No timer fires once the process is not [alive]. */
+/**
+ * The event loop of a simulated process. Its clock is fast by the fraction [drift]. No timer fires once the process is not [alive].
+ *
+ * A decision takes no time unless [millisPerReading] is set: then its clock moves on with each reading, and the process handles nothing
+ * else and sends nothing until simulated time has caught up.
+ */
 class SimLoop(private val sim: Simulation, drift: Double = 0.0) : EventLoop {
     var alive = true
     private var rate = 1.0 + drift
@@ -48,7 +53,21 @@
         rate = factor
     }
 
-    private fun clockMillis() = clockAtBaseMillis + (sim.nowMillis - baseMillis) * rate
+    private fun clockMillis() = clockAtBaseMillis + (processMillis - baseMillis) * rate
+
+    /** By how much the clock moves on at each reading, in milliseconds. */
+    var millisPerReading = 0.0
+    private var busyUntilMillis = 0.0
+
+    /** The time up to which the process has worked. */
+    private val processMillis: Double get() = maxOf(sim.nowMillis, busyUntilMillis)
+
+    /** How long the decision in progress has taken so far, in milliseconds. */
+    val millisBusy: Double get() = processMillis - sim.nowMillis
+
+    private fun spendReading() {
+        if (millisPerReading > 0.0) busyUntilMillis = processMillis + millisPerReading
+    }
 
     /** The number of clock readings before the one that throws an [OutOfMemoryError]; negative: none throws. */
     var readingsUntilFault = -1
@@ -59,6 +78,7 @@
 
     override fun now(): MonotonicTime {
         failIfDue()
+        spendReading()
         return MonotonicTime(clockMillis().toLong())
     }
 
@@ -70,11 +90,12 @@
 
     override fun wallMillis(): Long {
         failIfDue()
+        spendReading()
         if (faultAtWallClockReading) {
             faultAtWallClockReading = false
             throw OutOfMemoryError("injected")
         }
-        return sim.nowMillis.toLong()
+        return processMillis.toLong()
     }
 
     private var frozenUntilMillis = 0.0
@@ -84,11 +105,12 @@
         frozenUntilMillis = sim.nowMillis + durationMillis
     }
 
-    /** Runs [action] now, or once the process resumes if it is frozen. */
+    /** Runs [action] now, or once the process resumes if it is frozen, and has ended the decision in progress. */
     fun whenNotFrozen(action: () -> Unit) {
-        if (sim.nowMillis >= frozenUntilMillis) action() else sim.after(frozenUntilMillis - sim.nowMillis) { whenNotFrozen(action) }
+        val freeAtMillis = maxOf(frozenUntilMillis, busyUntilMillis)
+        if (sim.nowMillis >= freeAtMillis) action() else sim.after(freeAtMillis - sim.nowMillis) { whenNotFrozen(action) }
     }
 
     override fun after(delay: Duration, action: () -> Unit) =
-        sim.after(delay.inWholeMicroseconds / 1000.0 / rate) { whenNotFrozen { if (alive) guard(action) } }
+        sim.after(delay.inWholeMicroseconds / 1000.0 / rate + millisBusy) { whenNotFrozen { if (alive) guard(action) } }
 }
--- a/src/test/kotlin/copperglade/soak/SoakRun.kt
+++ b/src/test/kotlin/copperglade/soak/SoakRun.kt
@@ -119,6 +119,9 @@
                 val shown = referee.breaches.take(MAX_SHOWN_BREACHES).joinToString("; ")
                 result(site, schedule, Verdict.FAILED, shown)
             }
+            // A heap that was made too small on purpose ends controllers; nothing else may.
+            options.heapMb == null && site.controllers.any { it.ownEnds.isNotEmpty() } ->
+                result(site, schedule, Verdict.FAILED, "a controller ended by itself")
             referee.starts == 0 || referee.jobs.values.none { it.complete } -> result(site, schedule, Verdict.FAILED, "no job ran")
             schedule.isEmpty() || site.network.disturbed == 0 -> result(site, schedule, Verdict.FAILED, "no trouble happened")
             else -> result(site, schedule, Verdict.PASSED, "no rule broken")
