--- a/src/main/kotlin/copperglade/ownership/ShardOwner.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardOwner.kt
@@ -53,6 +53,9 @@
     /** Whether [token] is or was a fencing token of this owner. */
     fun hasHeldToken(token: FencingToken): Boolean = state.isOwnToken(token)
 
+    /** Whether a direct start to any of the machines is neither answered nor timed out. */
+    val hasStartsInFlight: Boolean get() = state.machines.values.any { it.channel.hasStartInFlight }
+
     /** Starts sending commands to workers. Requires that the replica is at least as new as the grant of the shard. */
     fun open() {
         state.isOpen = true
--- a/src/main/kotlin/copperglade/tasks/CommandChannel.kt
+++ b/src/main/kotlin/copperglade/tasks/CommandChannel.kt
@@ -96,6 +96,9 @@
         attempt: Attempt,
     ): Boolean = unresolved.any { it.inFlight && it.attempt == attempt && it.task == task }
 
+    /** Whether any direct start is in flight. */
+    val hasStartInFlight: Boolean get() = unresolved.any { it.inFlight }
+
     /** Adds [starts], which are being sent. */
     fun addUnresolved(starts: List<UnresolvedStart>) {
         unresolved += starts
--- a/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
+++ b/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
@@ -21,16 +21,16 @@
     private var onWire: (WireEvent) -> Unit = {}
 
     /**
-     * A site of twelve machines, each almost filled by a service. Eight of them run one more task, so that a machine beside them has room
-     * for it at once.
+     * A site of twelve machines, each almost filled by a service. As many of them as there are [tasks] run one more task, so that a machine
+     * beside them has room for it at once.
      */
-    private fun siteWithRoom(seed: Long): SimSite {
+    private fun siteWithRoom(seed: Long, tasks: Int = TASKS): SimSite {
         val scale = SiteScale(machinesPerZone = MACHINES / 2, heartbeatIntervalSeconds = 2.0, teamCpus = 400.0)
         val site = SimSite(Simulation(seed), scale = scale, wireObserver = { onWire(it) })
         repeat(MACHINES) { site.submit(serviceSpec(it)) { null } }
         site.await(60.0) { site.runningTasks().size == MACHINES }
-        repeat(TASKS) { number -> site.submit(taskSpec(number)) { TASK_SECONDS } }
-        site.await(30.0) { site.runningTasks().size == MACHINES + TASKS }
+        repeat(tasks) { number -> site.submit(taskSpec(number)) { TASK_SECONDS } }
+        site.await(30.0) { site.runningTasks().size == MACHINES + tasks }
         return site
     }
 
@@ -74,6 +74,13 @@
         site.await(20.0) { site.runningTasks().keys.none { it.job in services } }
     }
 
+    private fun servicesOn(site: SimSite, worker: StandInWorker) = site
+        .runningTasks()
+        .filterValues { it === worker }
+        .keys
+        .map { it.job }
+        .filter { it.number in FIRST_SERVICE until FIRST_SERVICE + MACHINES }
+
     private val JobId.number: Int get() = text.substringAfter('-').toInt()
 
     /** Lets time pass until the lease of [worker] is about to be renewed. */
@@ -192,6 +199,60 @@
         site.assertRulesKept()
     }
 
+    /** The new owner reckons with leases that began before its grant; a start in flight may reach a worker that begins later. */
+    @ParameterizedTest
+    @ValueSource(longs = [51, 52, 53, 54, 55, 56])
+    fun `a task whose start was in flight when its shard was released is not started elsewhere too early`(seed: Long) {
+        val site = siteWithRoom(seed, tasks = 0)
+        site.network.delayMillis = { if (it.path == COMMAND && !it.isAnswer) SLOW_COMMAND_MILLIS else 0.0 }
+        val startArrivesAt = HashMap<String, Double>()
+        var machine: String? = null
+        var releases = 0
+        onWire = { event ->
+            val body = event.request.body.decodeToString()
+            if (event.startsTasks()) startArrivesAt[event.to] = event.atMillis + SLOW_COMMAND_MILLIS
+            val released = RELEASED_SHARD.find(body)?.groupValues?.get(1)
+            if (machine == null && released != null && event.step == WireStep.REQUEST_SENT) {
+                releases++
+                machine = startArrivesAt.entries
+                    .firstOrNull {
+                        shardOf(site, site.workerNamed(it.key)).text == released &&
+                            it.value - event.atMillis > LONG_IN_FLIGHT_MILLIS
+                    }?.key
+                machine?.let { restartBeforeStartArrives(site, it, startArrivesAt.getValue(it) - event.atMillis) }
+            }
+        }
+        var round = 0
+        while (machine == null && round < MAX_ROUNDS) moveShardsWhileTasksStart(site, round++)
+        assertTrue(releases > 0, "no shard was released")
+        site.run(SimSite.LEASE_SECONDS * 2)
+        assertEquals(emptyList<String>(), site.breaches)
+        site.assertRulesKept()
+    }
+
+    /** Turns [machine] off until just before a start arrives [inMillis] from now. None of its heartbeats arrives from then on. */
+    private fun restartBeforeStartArrives(site: SimSite, machine: String, inMillis: Double) {
+        // The machine beside it has no room for its service, which would keep that machine from smaller tasks.
+        servicesOn(site, site.workerNamed(machine)).forEach(site::cancel)
+        site.rebootMachineNamed(machine, offMillis = inMillis - 10.0)
+        site.holdHeartbeats(listOf(machine))
+        site.network.delayMillis = { 0.0 }
+    }
+
+    /** Lets the leader move shards to a controller that comes back, while small tasks are started all the time. */
+    private fun moveShardsWhileTasksStart(site: SimSite, round: Int) {
+        val away = (0 until site.nodes).first { it != site.leader() }
+        site.crash(away, restartAfterMillis = 25_000.0)
+        site.run(24.0)
+        repeat(60) { number ->
+            site.after(number * 0.1) { site.submit(smallTask(FIRST_MOVED_TASK + round * 60 + number, cpus = 0.05)) { 30.0 } }
+        }
+        site.run(15.0)
+    }
+
+    private fun WireEvent.startsTasks() =
+        step == WireStep.REQUEST_SENT && request.path == COMMAND && "\"start\"" in request.body.decodeToString()
+
     /** Restarts and losses of the network at random moments, in each direction, also twice in a row and across a change of owner. */
     @ParameterizedTest
     @MethodSource("seeds")
@@ -221,10 +282,10 @@
         site.assertRulesKept()
     }
 
-    private fun smallTask(number: Int) = SimSite.job(
+    private fun smallTask(number: Int, cpus: Double = 0.25) = SimSite.job(
         number,
         tasks = 1,
-        cpus = 0.25,
+        cpus = cpus,
         spot = false,
         image = TASK_IMAGE,
         imageGb = TASK_IMAGE_GB,
@@ -267,6 +328,11 @@
         /** Small enough that a task that is released runs elsewhere at once. */
         const val TASK_IMAGE_GB = 0.005
         const val LATE_MILLIS = 6000.0
+        const val SLOW_COMMAND_MILLIS = 1300.0
+        const val LONG_IN_FLIGHT_MILLIS = 900.0
+        const val FIRST_MOVED_TASK = 1000
+        const val MAX_ROUNDS = 10
+        val RELEASED_SHARD = Regex("\"drop\":\"[^\"]*block/([^\"]*)\"")
         const val MACHINES = 12
         const val TASKS = 8
         const val FIRST_SERVICE = 500
