--- a/src/test/kotlin/copperglade/sim/NetworkFaults.kt
+++ b/src/test/kotlin/copperglade/sim/NetworkFaults.kt
@@ -99,6 +99,12 @@
     var duplicatesDelivered = 0
         protected set
 
+    /** One in this many direct commands that were executed and answered is executed again, after [repeatDelayMillis]; 0: none. */
+    var repeatCommandOneIn = 0
+    var repeatDelayMillis: () -> Double = { MIN_REPEAT_DELAY_MILLIS + sim.random.nextInt(REPEAT_DELAY_RANGE_MILLIS) }
+    var repeatedCommands = 0
+        protected set
+
     /** Changes the body of a duplicate heartbeat. Only tests of the referee set a function other than the identity. */
     var tamperDuplicate: (ByteArray) -> ByteArray = { it }
 
@@ -108,4 +114,11 @@
         protected set
     var lateWritesApplied = 0
         protected set
+
+    private companion object {
+        const val MIN_REPEAT_DELAY_MILLIS = 1_000.0
+
+        /** Up to three times the lease of [SimSite.LEASE_SECONDS]. */
+        const val REPEAT_DELAY_RANGE_MILLIS = 30_000
+    }
 }
--- a/src/test/kotlin/copperglade/sim/SimNetwork.kt
+++ b/src/test/kotlin/copperglade/sim/SimNetwork.kt
@@ -7,6 +7,9 @@
 import copperglade.transport.RequestHandler
 import kotlin.time.Duration.Companion.milliseconds
 
+/** A direct command from [from] that the worker of the machine [to] has executed and answered. */
+class ExecutedCommand(val from: String, val to: String, val request: Request, internal val endpoint: Endpoint)
+
 /** The hosts of a simulated site and the messages between them, with the faults of [NetworkFaults]. */
 class SimNetwork(private val sim: Simulation, private val observer: WireObserver = WireObserver {}) : NetworkFaults(sim) {
     private class Host(val name: String, val loop: SimLoop, val handler: RequestHandler)
@@ -24,6 +27,17 @@
     /** Receives the body of each message with commands when the message is sent. */
     var onCommandsSent: (ByteArray) -> Unit = {}
 
+    /** The direct commands that were executed and answered, in this order. */
+    val executedCommands = ArrayList<ExecutedCommand>()
+
+    /** Delivers a copy of [command] now, to whichever worker listens at its address. Nobody waits for the answer. */
+    fun repeatCommand(command: ExecutedCommand) {
+        val host = hosts[command.endpoint] ?: return
+        repeatedCommands++
+        observe(WireStep.COPY_DELIVERED, command.from, host.name, command.request)
+        host.handler.handle(command.request) { observe(WireStep.ANSWER_DISCARDED, host.name, command.from, command.request, it) }
+    }
+
     /** Delivers the requests to [at] to [handler], as the host [name] on [loop]. Replaces the previous listener at [at]. */
     fun listen(at: Endpoint, name: String, loop: SimLoop, handler: RequestHandler) {
         hosts[at] = Host(name, loop, handler)
@@ -89,6 +103,7 @@
             observe(WireStep.REQUEST_DELIVERED, from, currentHost.name, request)
             currentHost.loop.guard {
                 currentHost.handler.handle(Request(request.method, request.path, request.body)) { reply ->
+                    if (path == COMMAND && reply.status == OK) onCommandExecuted(ExecutedCommand(from, host.name, request, to))
                     if (host.name == STATE && isRefused(from)) {
                         withholdAnswer(from) { answer(host, path, request, reply) }
                     } else {
@@ -106,6 +121,12 @@
             transmit(back, host.loop.millisBusy) { loop.whenNotFrozen { finish(sent) } }
         }
 
+        private fun onCommandExecuted(command: ExecutedCommand) {
+            executedCommands += command
+            if (repeatCommandOneIn == 0 || sim.random.nextInt(repeatCommandOneIn) > 0) return
+            sim.after(repeatDelayMillis()) { repeatCommand(command) }
+        }
+
         private fun duplicate(request: Request) {
             sim.after(500.0 + sim.random.nextInt(maxDuplicateDelayMillis)) {
                 val currentHost = hosts[to]
--- a/src/test/kotlin/copperglade/sim/WireObserver.kt
+++ b/src/test/kotlin/copperglade/sim/WireObserver.kt
@@ -13,7 +13,7 @@
     /** The call fails: its timeout expired without an answer, or no process listens at the address. */
     UNANSWERED,
 
-    /** A duplicate of a heartbeat reaches its receiver. */
+    /** A duplicate of a heartbeat or of a direct command reaches its receiver. */
     COPY_DELIVERED,
 
     /** The state service applies a transaction long after it was sent. */
--- a/src/test/kotlin/copperglade/standin/StandInWorker.kt
+++ b/src/test/kotlin/copperglade/standin/StandInWorker.kt
@@ -55,7 +55,9 @@
 ) : RequestHandler {
     enum class State(val wire: String) { FETCHING("pulling"), RUNNING("running"), CHECKPOINTING("saving"), EXITED("ended") }
 
-    inner class HeldTask(val task: TaskId, val attempt: Long, val spec: JobSpec) {
+    /** A task that this worker has been told to start. Only one that was refused as unknown has no [description]. */
+    inner class HeldTask(val task: TaskId, val attempt: Long, private val description: JobSpec?) {
+        val spec: JobSpec get() = checkNotNull(description)
         var state = State.FETCHING
         var cause: String? = null
 
@@ -237,11 +239,12 @@
     }
 
     private fun begin(task: TaskId, attempt: Long) {
-        val spec = world.spec(task) ?: return
+        val spec = world.spec(task)
         val newTask = HeldTask(task, attempt, spec)
         val busy = held.any { it.task == task && it.state != State.EXITED }
         val used = held.filter { it.state != State.EXITED }.sumOf { it.spec.request.cpus }
         held += newTask
+        if (spec == null) return exit(newTask, "no_such")
         when {
             busy -> exit(newTask, "busy")
             used + spec.request.cpus > cpus + 1e-6 -> exit(newTask, "full")
