--- a/src/main/kotlin/copperglade/agents/CommandPlanner.kt
+++ b/src/main/kotlin/copperglade/agents/CommandPlanner.kt
@@ -17,16 +17,31 @@
  * Determines which commands are due for a machine's worker: starts and stops of the machine's runs, and stops and removals of *unknown*
  * tasks, which the worker reports without a run being bound to the machine.
  *
- * Invariant: an attempt whose start is unresolved is never removed from its machine, since a late copy of the start could execute the
- * task again.
+ * Invariants: starts go only with heartbeat responses; an attempt is not removed from its machine while its start may take effect. After
+ * the removal the worker no longer knows the attempt, and would start it once more.
  */
-class CommandPlanner(private val state: ShardState, private val guard: ActionGuard, private val clock: Clock) {
-    /** Returns the commands due for [machine] now, those for unknown tasks included. */
-    fun dueCommands(machine: Machine): List<Command> {
+class CommandPlanner(
+    private val state: ShardState,
+    private val guard: ActionGuard,
+    private val clock: Clock,
+) {
+    /**
+     * Returns the commands to send to [machine] directly: stops, and with them removals. Where a start is due, a heartbeat is requested,
+     * in whose response the start goes.
+     */
+    fun dueDirectCommands(machine: Machine): List<Command> {
         val now = clock.now()
-        return dueCommands(machine, unknownTaskCommands(machine, now), now)
+        val (starts, others) = dueCommands(machine, unknownTaskCommands(machine, now), now).partition { it is Command.Start }
+        val heartbeatNeeded = starts.isNotEmpty() && !machine.channel.unresponsive && now >= machine.channel.heartbeatDueUntil
+        return when {
+            heartbeatNeeded -> others + heartbeatRequest(starts.first())
+            others.any { it is Command.Stop } -> others
+            else -> emptyList()
+        }
     }
 
+    private fun heartbeatRequest(start: Command) = Command.RequestHeartbeat(start.task.job, start.attempt)
+
     /**
      * Returns the commands due for [machine] and the given [unknownTaskCommands], at most [MAX_COMMANDS_PER_MESSAGE]. Stops come first,
      * since they free capacity and may be urgent.
@@ -44,9 +59,11 @@
 
     /** An unknown task is stopped while it runs, and removed once it has exited. */
     private fun unknownTaskCommand(machine: Machine, reported: ReportedTask, now: MonotonicTime): Command? {
-        if (reported.state != ReportedTaskState.EXITED) return Command.Stop(reported.task, reported.attempt, NO_GRACE_SECONDS)
+        if (reported.state != ReportedTaskState.EXITED) {
+            return Command.Stop(reported.task, reported.attempt, NO_GRACE_SECONDS)
+        }
         val channel = machine.channel
-        val removable = !channel.hasUnresolvedStart(reported.task, reported.attempt) &&
+        val removable = !channel.startMayTakeEffect(reported.task, reported.attempt, now) &&
             now >= channel.removalSentAt(reported.attempt) + RESEND_INTERVAL
         return if (removable) Command.Remove(reported.task, reported.attempt) else null
     }
@@ -82,11 +99,16 @@
         for (command in commands) {
             val run = state.runs[command.task]?.takeIf { it.attempt == command.attempt && it.machine === machine }
             when (command) {
-                is Command.Start -> run?.startSentAt = now
+                is Command.Start -> {
+                    run?.startSentAt = now
+                    machine.channel.recordStartSent(command.task, command.attempt, now)
+                }
                 is Command.Stop -> run?.stopSentAt = now
                 is Command.Remove -> machine.channel.recordRemovalSent(command.attempt, now)
+                is Command.RequestHeartbeat -> Unit
             }
         }
+        if (commands.any { it is Command.Start || it is Command.RequestHeartbeat }) machine.channel.expectHeartbeat(now)
     }
 
     companion object {
@@ -94,7 +116,8 @@
         val RESEND_INTERVAL = 1000.milliseconds
         private const val MAX_COMMANDS_PER_MESSAGE = 200
         private const val NO_GRACE_SECONDS = 0.0
-        private val COMMAND_ORDER = listOf(Command.Stop::class, Command.Remove::class, Command.Start::class)
+        private val COMMAND_ORDER =
+            listOf(Command.Stop::class, Command.Remove::class, Command.Start::class, Command.RequestHeartbeat::class)
     }
 }
 
--- a/src/main/kotlin/copperglade/agents/HeartbeatHandler.kt
+++ b/src/main/kotlin/copperglade/agents/HeartbeatHandler.kt
@@ -64,11 +64,13 @@
                 commands.sendFencingToken(trackedMachine)
                 notAcknowledged(HeartbeatOutcome.Reason.DUPLICATE)
             }
-            else -> handleTrusted(heartbeat)
+            else -> handleTrusted(trackedMachine, heartbeat)
         }
     }
 
-    private fun handleTrusted(heartbeat: Heartbeat): HeartbeatOutcome {
+    private fun handleTrusted(trackedMachine: Machine?, heartbeat: Heartbeat): HeartbeatOutcome {
+        // The response to this heartbeat carries the starts that are due, so none is requested meanwhile.
+        trackedMachine?.channel?.expectHeartbeat(clock.now())
         val machine = tracker.receive(heartbeat)
         machine.recordHeartbeat(heartbeat, clock.now())
         if (responsesNotReceived(machine)) {
@@ -87,7 +89,8 @@
 
     /**
      * Handles a heartbeat that may be from before the worker restarted. Its content is not accepted. It is acknowledged, so that the
-     * worker's lease is renewed, only while the worker is in contact through replies to commands.
+     * worker's lease is renewed, only while the worker is in contact through replies to commands. The due commands go along: nobody
+     * receives the response if the heartbeat is a late one.
      */
     private fun handleUnverified(machine: Machine, heartbeat: Heartbeat): HeartbeatOutcome {
         commands.sendFencingToken(machine)
@@ -96,9 +99,12 @@
         }
         machine.recordUnverifiedHeartbeat(clock.now())
         machine.renewLease(clock.now())
-        return HeartbeatOutcome.Acknowledged(responses.withoutCommands(heartbeat))
+        return HeartbeatOutcome.Acknowledged(respond(machine, heartbeat))
     }
 
+    private fun respond(machine: Machine, heartbeat: Heartbeat): ByteArray =
+        if (state.isOpen && state.isFenced(machine)) responses.withDueCommands(machine, heartbeat) else responses.withoutCommands(heartbeat)
+
     /**
      * Handles a heartbeat while this controller may no longer act and no other controller is known that may: renews the worker's lease,
      * without commands other than the stops of cancelled and ended tasks. Not acknowledged if another owner has sent the worker
--- a/src/main/kotlin/copperglade/agents/HeartbeatResponses.kt
+++ b/src/main/kotlin/copperglade/agents/HeartbeatResponses.kt
@@ -9,7 +9,6 @@
 import copperglade.tasks.Machine
 import copperglade.tasks.ShardState
 import copperglade.transport.Clock
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Composes the responses that acknowledge heartbeats and renew the workers' leases, including the commands that they carry.
@@ -20,7 +19,6 @@
 class HeartbeatResponses(
     private val state: ShardState,
     private val planner: CommandPlanner,
-    private val unresolvedStarts: UnresolvedStarts,
     private val guard: ActionGuard,
     private val audit: ActionAudit,
     private val timeouts: HeartbeatTimeouts,
@@ -33,26 +31,22 @@
     fun withoutCommands(heartbeat: Heartbeat): ByteArray = compose(heartbeat, emptyList())
 
     /**
-     * Returns the commands for the response to a fenced machine's heartbeat.
+     * Returns the commands for the response to a fenced machine's heartbeat. A command in a response is never executed late.
      *
-     * A command in a response is never executed late, so the response carries all due commands while direct commands go unanswered.
-     * Otherwise the response carries removals when they are due, which saves separate messages. Stops of unknown tasks are always included:
-     * direct commands may be failing undetected, and a lease must not be renewed without stopping the tasks that have no run.
+     * Removals are included only when they are due or go along with a start, which saves separate messages. Stops of unknown tasks are
+     * always included: direct commands may be failing undetected, and a lease must not be renewed without stopping the tasks that have no
+     * run.
      */
     private fun dueCommands(machine: Machine): List<Command> {
-        val unknownTaskCommands = planner.unknownTaskCommands(machine, clock.now())
-        val due = planner.dueCommands(machine, unknownTaskCommands, clock.now())
-        val planned = when {
-            machine.channel.unresponsive && !machine.channel.commandInFlight -> due
-            removalsAreDue(machine) -> due.filterIsInstance<Command.Remove>()
-            else -> emptyList()
-        }
+        val now = clock.now()
+        machine.channel.recordHeartbeatAnswered()
+        val unknownTaskCommands = planner.unknownTaskCommands(machine, now)
+        val due = planner.dueCommands(machine, unknownTaskCommands, now)
+        val includesRemovals = machine.channel.unresponsive || due.any { it is Command.Start } || removalsAreDue(machine)
+        val planned = if (includesRemovals) due else due.filter { it !is Command.Remove }
         val unknownTaskStops = unknownTaskCommands.filterIsInstance<Command.Stop>().withoutStopsIn(planned)
         val commands = guard.approveCommands(machine.name, planned + unknownTaskStops)
-        if (commands.isNotEmpty()) {
-            planner.markSent(machine, commands)
-            unresolvedStarts.recordSent(machine, commands, expiresAt = clock.now() + RESPONSE_LIFETIME)
-        }
+        planner.markSent(machine, commands)
         return commands
     }
 
@@ -74,8 +68,5 @@
 
     private companion object {
         const val REMOVAL_DELAY_INTERVALS = 2.0
-
-        /** Workers drop responses that arrive later than 4 s after their heartbeat. */
-        val RESPONSE_LIFETIME = 5.seconds
     }
 }
--- a/src/main/kotlin/copperglade/agents/MachineTracker.kt
+++ b/src/main/kotlin/copperglade/agents/MachineTracker.kt
@@ -38,7 +38,7 @@
         val machine = machines.getOrPut(heartbeat.machine) { discover(heartbeat) }
         val epochBefore = machine.epoch
         if (machine.update(heartbeat, clock.now())) {
-            if (machine.epoch > epochBefore) releaseAll(machine, "agent epoch ${machine.epoch} began")
+            if (machine.epoch > epochBefore) releaseLostRuns(machine, "agent epoch ${machine.epoch} began")
             if (state.isOpen && state.isFenced(machine)) reportReconciler.reconcile(machine)
         }
         return machine
@@ -79,12 +79,12 @@
      * Removes machines whose leases have certainly expired: their workers have terminated all tasks.
      *
      * A worker may have restarted unnoticed since its last acknowledged heartbeat, with a lease of its own. Such a worker can only have
-     * tasks that were started after that. Their runs stay bound until the lease of any incarnation that may have started them has expired.
+     * tasks that a former owner started. Their runs stay bound until the lease of any incarnation that may have started them has expired.
      */
     fun removeExpired(now: MonotonicTime) {
         for (machine in machines.values.toList()) {
             if (now < machine.leaseRenewedAt + timeouts.maxLease) continue
-            val (outlasting, lost) = machine.runs.partition { mayRunInLaterIncarnation(it, machine, now) }
+            val (outlasting, lost) = machine.runs.partition { mayRunInLaterIncarnation(it, now) }
             if (lost.isNotEmpty() || outlasting.isEmpty()) {
                 log.info("machine_lease_expired machine={} tasks_lost={} tasks_outlasting={}", machine.name, lost.size, outlasting.size)
             }
@@ -92,8 +92,7 @@
         }
     }
 
-    private fun mayRunInLaterIncarnation(run: Run, machine: Machine, now: MonotonicTime): Boolean =
-        now < run.startedNoLaterThan + timeouts.maxLease || machine.channel.hasStartInFlight(run.task, run.attempt)
+    private fun mayRunInLaterIncarnation(run: Run, now: MonotonicTime): Boolean = now < run.foundAt + timeouts.maxLease
 
     private fun releaseLost(machine: Machine, lost: List<Run>) {
         // A heartbeat of this agent epoch is a late one, or from a worker that has restarted.
@@ -122,21 +121,26 @@
         return discovered
     }
 
-    /**
-     * Handles a worker's restart, detected by its reply to a command: none of the machine's former tasks is there any more. The run of an
-     * unresolved start stays bound, since a late copy of the start may take effect if the new agent epoch has the number of the old one.
-     */
+    /** Handles a worker's restart, detected by its reply to a command: none of the former incarnation's tasks is there any more. */
     private fun handleWorkerRestart(machine: Machine, heartbeat: Heartbeat) {
         log.info("worker_restarted machine={} tasks_lost={}", machine.name, machine.runs.size)
         machine.onWorkerRestarted(heartbeat, clock.now())
+        releaseLostRuns(machine, "worker of ${machine.name} restarted")
+        if (state.isFenced(machine)) reportReconciler.reconcile(machine)
+    }
+
+    /**
+     * Releases the runs that the worker, which has begun anew, does not report. Before the restart was noticed the new incarnation may
+     * have been sent starts: their runs stay bound if the worker reports them, or while the start may still take effect.
+     */
+    private fun releaseLostRuns(machine: Machine, reason: String) {
         for (run in machine.runs.toList()) {
-            if (machine.channel.hasUnresolvedStart(run.task, run.attempt)) {
-                lifecycle.restartAttempt(run)
-            } else {
-                lifecycle.release(run, "worker of ${machine.name} restarted")
+            when {
+                machine.reportedTask(run.task, run.attempt) != null -> Unit
+                machine.channel.startMayTakeEffect(run.task, run.attempt, clock.now()) -> lifecycle.restartAttempt(run)
+                else -> lifecycle.release(run, reason)
             }
         }
-        if (state.isFenced(machine)) reportReconciler.reconcile(machine)
     }
 
     private fun remove(machine: Machine) {
--- a/src/main/kotlin/copperglade/agents/RunReconciler.kt
+++ b/src/main/kotlin/copperglade/agents/RunReconciler.kt
@@ -55,7 +55,7 @@
         val existing = runs[task]
         val assignedAgain = existing != null && existing.generation != assignment.generation && existing.state == RunState.GONE
         if (existing != null && !assignedAgain) return existing
-        val initialState = if (state.isOwnToken(assignment.fencingToken)) RunState.WAITING else RunState.MISSING
+        val initialState = if (assignment.fencingToken == state.fencingToken) RunState.WAITING else RunState.MISSING
         val newRun = Run(task, spec, assignment.generation, acceptedAtMillis, initialState, clock.now(), runs::onStateChanged)
         newRun.restarted = job.wasRestarted(assignment.task)
         runs.add(newRun)
--- a/src/main/kotlin/copperglade/agents/ShardAgents.kt
+++ b/src/main/kotlin/copperglade/agents/ShardAgents.kt
@@ -38,12 +38,9 @@
     /** The delays before tasks are started again. */
     val backoff = RetryBackoff()
 
-    /** Starts whose outcome is unknown. */
-    val unresolvedStarts = UnresolvedStarts(state, guard, timeouts, loop)
-
     /** Sends direct commands. The replies go to the tracker through a lambda, since the tracker in turn depends on the commands. */
     val commands: WorkerCommands =
-        WorkerCommands(state, planner, unresolvedStarts, lifecycle, client, control.membership, loop) { machine, heartbeat, sentAt ->
+        WorkerCommands(state, planner, lifecycle, client, control.membership, loop) { machine, heartbeat, sentAt ->
             tracker.onReply(machine, heartbeat, sentAt)
         }
 
@@ -58,7 +55,7 @@
 
     /** Tracks the machines of the shard. */
     val tracker: MachineTracker = MachineTracker(state, lifecycle, reportReconciler, client, machineHistory, timeouts, loop)
-    private val responses = HeartbeatResponses(state, planner, unresolvedStarts, guard, audit, timeouts, loop)
+    private val responses = HeartbeatResponses(state, planner, guard, audit, timeouts, loop)
 
     /** Decides which heartbeats are trusted and acknowledged. */
     val heartbeatHandler = HeartbeatHandler(state, tracker, commands, responses, timeouts, loop)
--- a/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
+++ b/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
@@ -45,7 +45,7 @@
         if (run.state != RunState.MISSING) return
         if (reported.state == ReportedTaskState.EXITED && reported.cause != ExitCause.DONE) return
         run.bind(machine, reported.attempt)
-        run.startedNoLaterThan = clock.now()
+        run.foundAt = clock.now()
         run.confirmedByWorker = true
         lifecycle.transition(run, RunState.STARTING, "found on ${machine.name}")
         if (guard.isCancelled(reported.task.job)) stopper.stop(run, StopReason.CANCELLED)
@@ -68,16 +68,14 @@
 
     /**
      * Handles an accepted heartbeat of [machine] that doesn't report [run], which is bound to the machine. A run that was reported before
-     * has been lost in a restart of the worker. It stays bound while a late copy of its start may still take effect.
+     * has been lost in a restart of the worker. It stays bound while its start may still take effect.
      */
     private fun onNotReported(run: Run, machine: Machine) {
-        val startUnresolved = machine.channel.hasUnresolvedStart(run.task, run.attempt)
+        val mayStillStart = machine.channel.startMayTakeEffect(run.task, run.attempt, clock.now())
         when {
-            run.confirmedByWorker && startUnresolved -> lifecycle.restartAttempt(run)
+            run.confirmedByWorker && mayStillStart -> lifecycle.restartAttempt(run)
             run.confirmedByWorker -> lifecycle.release(run, "no longer reported")
-            run.state != RunState.STOPPING -> Unit
-            // The start was answered or never sent, and the worker does not have the task.
-            !machine.channel.commandInFlight && !startUnresolved -> lifecycle.release(run, "start had no effect")
+            run.state == RunState.STOPPING && !mayStillStart -> lifecycle.release(run, "start had no effect")
         }
     }
 }
--- a/src/main/kotlin/copperglade/agents/WorkerClient.kt
+++ b/src/main/kotlin/copperglade/agents/WorkerClient.kt
@@ -9,7 +9,6 @@
 import copperglade.protocol.WorkerMessageCodec
 import copperglade.safety.ActionGuard
 import copperglade.transport.HttpClient
-import copperglade.transport.HttpStatus
 import copperglade.transport.Method
 import copperglade.transport.Request
 import kotlin.time.Duration.Companion.milliseconds
@@ -21,9 +20,6 @@
 
     /** The worker replied with the HTTP [status]. */
     class Answered(val status: Int, private val body: ByteArray) : CommandReply {
-        /** Whether the message was executed or permanently refused, so that no copy of it can take effect later. */
-        val isFinal: Boolean get() = status == HttpStatus.OK || status == HttpStatus.CONFLICT
-
         /** Returns the worker's state, or null if the body can't be decoded. */
         fun readHeartbeat(): Heartbeat? = WorkerMessageCodec.decodeHeartbeat(body)
     }
@@ -33,7 +29,7 @@
 class WorkerClient(private val http: HttpClient, private val guard: ActionGuard, private val audit: ActionAudit) {
     /** Returns those of the [planned] commands that may be sent directly to [machine], and records them as sent under [token]. */
     fun approve(machine: MachineName, token: FencingToken, planned: List<Command>): List<Command> {
-        val commands = guard.approveCommands(machine, planned)
+        val commands = guard.approveDirectCommands(machine, planned)
         audit.recordCommands(machine, token, commands, channel = "direct")
         return commands
     }
--- a/src/main/kotlin/copperglade/agents/WorkerCommands.kt
+++ b/src/main/kotlin/copperglade/agents/WorkerCommands.kt
@@ -8,7 +8,6 @@
 import copperglade.tasks.RunLifecycle
 import copperglade.tasks.RunState
 import copperglade.tasks.ShardState
-import copperglade.tasks.UnresolvedStart
 import copperglade.transport.Clock
 import org.slf4j.LoggerFactory
 
@@ -19,16 +18,15 @@
 }
 
 /**
- * Sends direct commands to the workers of a shard. [HeartbeatResponses] adds commands to the responses to heartbeats.
+ * Sends direct commands to the workers of a shard. [HeartbeatResponses] adds commands to the responses to heartbeats, starts among them.
  *
- * Invariants: a machine has at most one direct command in flight; starts, stops and removals are sent only to fenced machines; direct
+ * Invariants: no start is sent directly; a machine has at most one direct command in flight; commands are sent only to fenced machines; direct
  * commands are sent only while [Membership.mayAct], which is checked immediately before sending. These guard against commands of a
  * controller that has lost the shard, and against decisions based on a state that a former owner's commands may still change.
  */
 class WorkerCommands(
     private val state: ShardState,
     private val planner: CommandPlanner,
-    private val unresolvedStarts: UnresolvedStarts,
     private val lifecycle: RunLifecycle,
     private val client: WorkerClient,
     private val membership: Membership,
@@ -40,25 +38,23 @@
         if (!state.isOpen || machine.channel.commandInFlight || machine.deleting || !membership.mayAct) return
         if (!state.isFenced(machine)) return sendFencingToken(machine)
         releaseNeverSent(machine)
-        val commands = planner.dueCommands(machine).filter { mayBeSent(it, machine) }
-        if (commands.any { it !is Command.Remove }) {
+        val commands = planner.dueDirectCommands(machine)
+        if (commands.isNotEmpty()) {
             send(machine, commands)
         } else if (machine.channel.unresponsive) {
             sendFencingToken(machine)
         }
     }
 
-    /**
-     * No start is sent directly while direct commands go unanswered: each might be executed by an incarnation of the worker that this owner
-     * has not heard of, and the task would have to be counted as running until that incarnation's lease has expired.
-     */
-    private fun mayBeSent(command: Command, machine: Machine): Boolean = command !is Command.Start || !machine.channel.unresponsive
-
     /** Releases the runs that were stopped before their start was sent: their tasks can't be on [machine]. */
     private fun releaseNeverSent(machine: Machine) {
         for (run in machine.runs.toList()) {
             val neverSent = run.state == RunState.STOPPING && !run.confirmedByWorker && run.startSentAt == MonotonicTime.NEVER
-            if (neverSent) lifecycle.release(run, "start not sent")
+            if (neverSent &&
+                !machine.channel.startMayTakeEffect(run.task, run.attempt, clock.now())
+            ) {
+                lifecycle.release(run, "start not sent")
+            }
         }
     }
 
@@ -75,23 +71,20 @@
         planner.markSent(machine, commands)
         val sentAt = clock.now()
         machine.channel.recordCommandSent(sentAt)
-        val starts = unresolvedStarts.recordSent(machine, commands, expiresAt = null)
-        client.send(machine.endpoint, state.fencingToken, machine.epoch, commands) { reply -> onReply(machine, reply, starts, sentAt) }
+        client.send(machine.endpoint, state.fencingToken, machine.epoch, commands) { reply -> onReply(machine, reply, sentAt) }
     }
 
-    private fun onReply(machine: Machine, reply: CommandReply, starts: List<UnresolvedStart>, sentAt: MonotonicTime) {
-        unresolvedStarts.recordCommandEnded(machine, starts)
+    private fun onReply(machine: Machine, reply: CommandReply, sentAt: MonotonicTime) {
         when (reply) {
             CommandReply.TimedOut -> machine.channel.recordCommandTimedOut(clock::now)
             is CommandReply.Answered -> {
                 machine.channel.recordCommandAnswered()
-                if (state.machines[machine.name] === machine) onAnswer(machine, reply, starts, sentAt)
+                if (state.machines[machine.name] === machine) onAnswer(machine, reply, sentAt)
             }
         }
     }
 
-    private fun onAnswer(machine: Machine, answer: CommandReply.Answered, starts: List<UnresolvedStart>, sentAt: MonotonicTime) {
-        if (answer.isFinal) unresolvedStarts.resolve(machine, starts)
+    private fun onAnswer(machine: Machine, answer: CommandReply.Answered, sentAt: MonotonicTime) {
         val heartbeat = answer.readHeartbeat()
         if (heartbeat != null && heartbeat.machine == machine.name) {
             if (heartbeat.fencingToken > state.fencingToken) {
--- a/src/main/kotlin/copperglade/controller/Controller.kt
+++ b/src/main/kotlin/copperglade/controller/Controller.kt
@@ -135,7 +135,7 @@
     private val shardRecordWriter = ShardRecordWriter(loop, store, replica, membership)
     private val shardOwnership =
         ShardOwnership(loop, replica, membership, shardMap, ownedShards, shardOwnerFactory, shardRecordWriter, failureEvidence)
-    private val shardTicker = ShardTicker(loop, ownedShards, shardRecordWriter, metrics)
+    private val shardTicker = ShardTicker(loop, ownedShards, metrics)
     private val unreachableWorkerWatch = UnreachableWorkerWatch(loop, store, ownedShards, shardOwnership)
     private val imageRecordWriter = ImageRecordWriter(loop, store, replica, membership, ownedShards)
     private val heartbeatRouter = HeartbeatRouter(ownedShards, shardMap, replica, membership, peerStatuses::peersReachStateService)
--- a/src/main/kotlin/copperglade/observability/ActionAudit.kt
+++ b/src/main/kotlin/copperglade/observability/ActionAudit.kt
@@ -38,6 +38,7 @@
                 is Command.Start -> "start_sent"
                 is Command.Stop -> "stop_sent"
                 is Command.Remove -> "remove_sent"
+                is Command.RequestHeartbeat -> "heartbeat_requested"
             }
             count(event)
             if (!log.isDebugEnabled) continue
--- a/src/main/kotlin/copperglade/ownership/ShardOwner.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardOwner.kt
@@ -23,7 +23,7 @@
 
 /**
  * The owner of one shard: places the shard's tasks on machines, starts and stops tasks, and records their outcomes. The shard owner
- * sends commands to workers only while [Membership.mayAct], and only under its own fencing tokens.
+ * sends commands to workers only while [Membership.mayAct], and only under its own fencing token.
  *
  * This class delegates to [ShardAgents] and [ShardScheduling], which it calls in a fixed order.
  */
@@ -50,12 +50,6 @@
     /** Whether [open] was called, which requires records as new as the grant, and [close] was not: only then are commands sent. */
     val isOpen: Boolean get() = state.isOpen
 
-    /** Whether [token] is or was a fencing token of this owner. */
-    fun hasHeldToken(token: FencingToken): Boolean = state.isOwnToken(token)
-
-    /** Whether a direct start to any of the machines is neither answered nor timed out. */
-    val hasStartsInFlight: Boolean get() = state.machines.values.any { it.channel.hasStartInFlight }
-
     /** Starts sending commands to workers. Requires that the replica is at least as new as the grant of the shard. */
     fun open() {
         state.isOpen = true
@@ -68,9 +62,6 @@
         state.isOpen = false
     }
 
-    /** Switches to the higher [token]: workers that have received it reject delayed copies of commands with older tokens. */
-    fun raiseToken(token: FencingToken) = state.raiseToken(token)
-
     /** Updates the runs of [job] to match its records. */
     fun reconcile(job: Job) = agents.reconciler.reconcile(job)
 
@@ -100,7 +91,6 @@
 
     /** Handles timeouts and due retries; changes by a heartbeat or a record are handled when they arrive. */
     private fun sweep(now: MonotonicTime) {
-        agents.unresolvedStarts.discardExpired(now)
         agents.tracker.removeExpired(now)
         agents.missingRunRelease.releaseDue(now)
         if (membership.mayAct) machines.values.toList().forEach(agents.commands::sendDue)
@@ -109,9 +99,6 @@
     /** Removes [machine], which the cloud has deleted. */
     fun onDeleted(machine: Machine) = agents.tracker.onDeleted(machine)
 
-    /** Whether an unresolved start blocks work that only a higher fencing token can unblock. */
-    fun needsHigherToken(): Boolean = agents.unresolvedStarts.needHigherToken()
-
     /** The images cached on the shard's machines, as many as fit into a stored value of [limitBytes]. */
     fun imageRecord(limitBytes: Int): ImageRecord = scheduling.summary.imageRecord(limitBytes)
 
--- a/src/main/kotlin/copperglade/ownership/ShardOwnership.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardOwnership.kt
@@ -53,7 +53,7 @@
     private fun reconcile(name: ShardName, grantToken: FencingToken?) {
         if (recordWriter.isInFlight(name)) return
         val present = owned[name]
-        if (present != null && (grantToken == null || !present.hasHeldToken(grantToken))) close(present)
+        if (present != null && (grantToken == null || present.fencingToken != grantToken)) close(present)
         if (grantToken != null && name !in owned) open(name, grantToken)
     }
 
@@ -92,25 +92,12 @@
             val shard = owned[name] ?: continue
             if (!shard.isOpen || !recordWriter.tryBeginWrite(name)) continue
             close(shard)
-            releaseOnceStartsEnded(shard, release)
-        }
-    }
-
-    /**
-     * Releases the closed [shard] once no direct start is in flight: the next owner reckons with the leases of workers that began before
-     * its grant, and a start in flight may reach a worker that begins later.
-     */
-    private fun releaseOnceStartsEnded(shard: ShardOwner, release: (ShardName, FencingToken) -> Unit) {
-        if (shard.hasStartsInFlight) {
-            loop.after(STARTS_ENDED_CHECK_INTERVAL) { releaseOnceStartsEnded(shard, release) }
-        } else {
             release(shard.name, shard.fencingToken)
         }
     }
 
     private companion object {
         val RETRY_INTERVAL = 200.milliseconds
-        val STARTS_ENDED_CHECK_INTERVAL = 20.milliseconds
         val log = LoggerFactory.getLogger("ownership")
     }
 }
--- a/src/main/kotlin/copperglade/ownership/ShardRecordWriter.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardRecordWriter.kt
@@ -19,7 +19,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Writes the records of shards that this process owns, either to obtain a higher fencing token or to release the shard.
+ * Writes the records of shards that this process releases.
  *
  * Invariant: at most one write of a shard's record is in flight, and the shard is neither opened nor closed because of the records
  * until that write is settled. Every write is conditional on the present fencing token.
@@ -41,19 +41,6 @@
     /** Marks the record of [shard] as being written; returns false if a write is in flight already. */
     fun tryBeginWrite(shard: ShardName): Boolean = inFlight.add(shard)
 
-    /** Rewrites the record of [shard] for a higher fencing token, so that workers reject delayed copies of its earlier commands. */
-    fun renewToken(shard: ShardOwner) {
-        val record = ownRecord() ?: return
-        if (!tryBeginWrite(shard.name)) return
-        write(shard.name, shard.fencingToken, set(shard.name, record)) { outcome ->
-            if (outcome is TransactionOutcome.Applied) {
-                log.info("shard_token_renewed shard={} fencing_token={} reason=unresolved_start", shard.name, outcome.revision)
-                shard.raiseToken(FencingToken(outcome.revision.number))
-            }
-            settle(shard.name)
-        }
-    }
-
     /** Deletes the record of [shard], which was owned under [token] and has been closed. Requires a successful [tryBeginWrite]. */
     fun release(shard: ShardName, token: FencingToken) = release(shard, token, Write.Delete(Keys.shard(shard)))
 
--- a/src/main/kotlin/copperglade/ownership/ShardTicker.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardTicker.kt
@@ -9,7 +9,6 @@
 class ShardTicker(
     private val loop: EventLoop,
     private val owned: OwnedShards,
-    private val recordWriter: ShardRecordWriter,
     private val metrics: EventLoopMetrics,
 ) {
     fun start() = loop.scheduleRepeating({ TICK_INTERVAL + TICK_INTERVAL_PER_MACHINE * owned.machineCount }) {
@@ -17,10 +16,7 @@
     }
 
     private fun tick() {
-        owned.all.toList().forEach {
-            it.tick()
-            if (it.needsHigherToken()) recordWriter.renewToken(it)
-        }
+        owned.all.toList().forEach { it.tick() }
     }
 
     private companion object {
--- a/src/main/kotlin/copperglade/protocol/JobSpec.kt
+++ b/src/main/kotlin/copperglade/protocol/JobSpec.kt
@@ -68,4 +68,9 @@
 
     /** A copy without the list of machine types, which isn't needed once no task of the job is placed any more. */
     fun withoutTypes(): JobSpec = copy(types = null)
+
+    companion object {
+        /** The maximum number of tasks of a job. Tasks are numbered from 0. */
+        const val MAX_TASKS = 100_000
+    }
 }
--- a/src/main/kotlin/copperglade/protocol/JobSpecCodec.kt
+++ b/src/main/kotlin/copperglade/protocol/JobSpecCodec.kt
@@ -7,7 +7,6 @@
 object JobSpecCodec {
     /** The field that lists the jobs to be done before this one; the stored record of a job uses the same name. */
     const val DEPENDENCIES = "awaits"
-    private const val MAX_TASKS = 100_000
     private const val MAX_NUMBER = 1e9
     private const val MAX_TEXT_LENGTH = 200
 
@@ -96,7 +95,7 @@
 
     private fun readTaskCount(root: JsonNode): Int {
         val value = root.longOrNull("boxes") ?: reject("boxes", "missing or not an integer")
-        if (value !in 1..MAX_TASKS) reject("boxes", "not between 1 and $MAX_TASKS")
+        if (value !in 1..JobSpec.MAX_TASKS) reject("boxes", "not between 1 and ${JobSpec.MAX_TASKS}")
         return value.toInt()
     }
 
--- a/src/main/kotlin/copperglade/protocol/WorkerMessageCodec.kt
+++ b/src/main/kotlin/copperglade/protocol/WorkerMessageCodec.kt
@@ -50,7 +50,7 @@
     }
 
     private fun Command.wireName(): String = when (this) {
-        is Command.Start -> "start"
+        is Command.Start, is Command.RequestHeartbeat -> "start"
         is Command.Stop -> "halt"
         is Command.Remove -> "reap"
     }
--- a/src/main/kotlin/copperglade/safety/ActionGuard.kt
+++ b/src/main/kotlin/copperglade/safety/ActionGuard.kt
@@ -41,7 +41,7 @@
 /**
  * Decides whether a task may be started, which tasks must be stopped, and whether a job may be ended. The decision is based on the
  * replica's current records and on the authority to act. All code paths check here, and each message to a worker is checked again
- * immediately before it is sent ([approveCommands], [approveAnswer]).
+ * immediately before it is sent ([approveDirectCommands], [approveCommands], [approveAnswer]).
  *
  * Guards against actions based on stale decisions or on another controller's unchecked claims. For example, a leader of an earlier version
  * assigns tasks of jobs whose dependencies are not done. A shard owner that started every assigned task would break the dependency order.
@@ -107,7 +107,18 @@
         return false
     }
 
-    /** Returns those of [commands] that may be sent to [machine]: all of them, unless a code path has omitted the earlier check. */
+    /**
+     * Returns those of [commands] that may be sent to [machine] directly, which excludes starts: a direct message may be executed again at
+     * any later time while the worker's token and epoch match, also by a restarted worker. A repeated stop, removal or heartbeat request
+     * has no effect on any other attempt.
+     */
+    fun approveDirectCommands(machine: MachineName, commands: List<Command>): List<Command> = commands.filter { command ->
+        val allowed = command !is Command.Start
+        if (!allowed) violations.record(Invariant.START_WITH_RESPONSE, "task=${command.task} machine=$machine")
+        allowed
+    }
+
+    /** Returns those of [commands] that may be sent to [machine] with a heartbeat response: all of them, unless a code path has omitted the earlier check. */
     fun approveCommands(machine: MachineName, commands: List<Command>): List<Command> = commands.filter { command ->
         val refusal = if (command is Command.Start) refusalToStart(command.task) else null
         if (refusal != null) violations.record(Invariant.START_PERMITTED, "task=${command.task} machine=$machine refusal=$refusal")
--- a/src/main/kotlin/copperglade/safety/InvariantViolations.kt
+++ b/src/main/kotlin/copperglade/safety/InvariantViolations.kt
@@ -8,6 +8,9 @@
     /** No task is started unless the records show its job as live, released and not cancelled, and this controller may start tasks. */
     START_PERMITTED,
 
+    /** No task is started by a direct message: only a heartbeat response can't be executed again. */
+    START_WITH_RESPONSE,
+
     /** No answer renews a worker's lease without stopping the worker's tasks that must not continue to run. */
     ANSWER_STOPS_ENDED_TASKS,
 
--- a/src/main/kotlin/copperglade/tasks/CommandChannel.kt
+++ b/src/main/kotlin/copperglade/tasks/CommandChannel.kt
@@ -1,38 +1,21 @@
 package copperglade.tasks
 
 import copperglade.protocol.Attempt
-import copperglade.protocol.FencingToken
 import copperglade.protocol.MonotonicTime
 import copperglade.protocol.ReportedTask
 import copperglade.protocol.TaskId
+import kotlin.time.Duration.Companion.seconds
+
+/** A start that was sent with a heartbeat response, which the worker may accept until [expiresAt]. */
+private class PendingStart(val task: TaskId, val attempt: Attempt, val expiresAt: MonotonicTime)
 
 /**
- * A start command whose outcome is unknown. A late copy of the command may still take effect while the worker's agent epoch and
- * fencing token match those of the command.
+ * The commands sent to a machine's worker: the direct command in flight, removals, and starts that may still take effect.
  *
- * @param epoch the agent epoch for which the command was sent.
- * @param expiresAt from when on the worker drops a command that arrives late; null for a direct command, which may take effect at any
- *   later time.
+ * This class decides how long a start may take effect. Starts go only with heartbeat responses. A worker has one heartbeat in flight,
+ * accepts the response only for 4 s and only in the session that sent the heartbeat, and no other incarnation of it gets the response. A
+ * direct message in contrast may be executed again at any later time, also by a worker that has restarted since.
  */
-class UnresolvedStart(
-    val task: TaskId,
-    val attempt: Attempt,
-    val epoch: Long,
-    val fencingToken: FencingToken,
-    val sentAt: MonotonicTime,
-    val expiresAt: MonotonicTime?,
-) {
-    /** Whether this start was sent with a direct command that is neither answered nor timed out. */
-    var inFlight = expiresAt == null
-        private set
-
-    /** Records that the direct command was answered or has timed out. */
-    fun recordCommandEnded() {
-        inFlight = false
-    }
-}
-
-/** The commands sent to a machine's worker: the direct command in flight, removals, and starts whose outcome is unknown. */
 class CommandChannel {
     /** Whether a direct command is in flight: sent, and neither answered nor timed out. */
     var commandInFlight = false
@@ -43,23 +26,24 @@
         private set
 
     /**
-     * Since when direct commands have gone unanswered; null if the last one was answered. While this is set, commands are sent with
-     * heartbeat responses as well.
+     * Since when direct commands have gone unanswered; null if the last one was answered. While this is set, no tasks are placed on the
+     * machine.
      */
     var unresponsiveSince: MonotonicTime? = null
         private set
 
     val unresponsive: Boolean get() = unresponsiveSince != null
-    private val unresolved = ArrayList<UnresolvedStart>()
-
-    /** Starts whose outcome is unknown, in the order in which they were sent. */
-    val unresolvedStarts: List<UnresolvedStart> get() = unresolved
+    private val pendingStarts = ArrayList<PendingStart>()
     private val removalSentAt = HashMap<Attempt, MonotonicTime>()
 
     /** When a removal of any task was last sent. */
     var lastRemovalSentAt = MonotonicTime.NEVER
         private set
 
+    /** Until when a heartbeat is due without a request, because commands have changed the worker's tasks. */
+    var heartbeatDueUntil = MonotonicTime.NEVER
+        private set
+
     /** Records that a direct command is being sent. */
     fun recordCommandSent(now: MonotonicTime) {
         commandInFlight = true
@@ -78,6 +62,16 @@
         unresponsiveSince = unresponsiveSince ?: now()
     }
 
+    /** Records that commands that change the worker's tasks are being sent: the worker sends a heartbeat within half a second. */
+    fun expectHeartbeat(now: MonotonicTime) {
+        heartbeatDueUntil = now + HEARTBEAT_AFTER_CHANGE
+    }
+
+    /** Records that the response to a heartbeat is being composed: the next heartbeat is not due before the worker's interval. */
+    fun recordHeartbeatAnswered() {
+        heartbeatDueUntil = MonotonicTime.NEVER
+    }
+
     /** Records that the removal of [attempt] is being sent. */
     fun recordRemovalSent(attempt: Attempt, now: MonotonicTime) {
         removalSentAt[attempt] = now
@@ -87,39 +81,26 @@
     /** Returns when the removal of [attempt] was last sent, or [MonotonicTime.NEVER]. */
     fun removalSentAt(attempt: Attempt): MonotonicTime = removalSentAt[attempt] ?: MonotonicTime.NEVER
 
-    /** Whether a start of [attempt] at [task] is unresolved, so that a late copy of the start may still take effect. */
-    fun hasUnresolvedStart(task: TaskId, attempt: Attempt): Boolean = unresolved.any { it.attempt == attempt && it.task == task }
-
-    /** Whether a direct command that starts [attempt] at [task] is in flight. */
-    fun hasStartInFlight(
-        task: TaskId,
-        attempt: Attempt,
-    ): Boolean = unresolved.any { it.inFlight && it.attempt == attempt && it.task == task }
-
-    /** Whether any direct start is in flight. */
-    val hasStartInFlight: Boolean get() = unresolved.any { it.inFlight }
-
-    /** Adds [starts], which are being sent. */
-    fun addUnresolved(starts: List<UnresolvedStart>) {
-        unresolved += starts
+    /** Drops the removals of the attempts that are not among [reportedTasks]: they were executed. */
+    fun discardExecutedRemovals(reportedTasks: List<ReportedTask>) {
+        removalSentAt.keys.removeIf { attempt -> reportedTasks.none { it.attempt == attempt } }
     }
 
-    /** Drops [starts], whose outcome has become known. */
-    fun resolve(starts: List<UnresolvedStart>) {
-        unresolved.removeAll(starts.toSet())
+    /** Records that the start of [attempt] at [task] is being sent with a heartbeat response. */
+    fun recordStartSent(task: TaskId, attempt: Attempt, now: MonotonicTime) {
+        pendingStarts.removeIf { now >= it.expiresAt }
+        pendingStarts += PendingStart(task, attempt, now + RESPONSE_LIFETIME)
     }
 
-    /** Drops the starts that have expired by [now]: the worker would refuse or ignore a copy that arrives now. */
-    fun discardExpired(now: MonotonicTime) {
-        unresolved.removeIf { it.expiresAt != null && now >= it.expiresAt }
-    }
+    /** Whether a start of [attempt] at [task] that was sent before may still take effect at [now] or later. */
+    fun startMayTakeEffect(task: TaskId, attempt: Attempt, now: MonotonicTime): Boolean =
+        pendingStarts.any { it.attempt == attempt && it.task == task && now < it.expiresAt }
 
-    /**
-     * Drops what an accepted heartbeat has resolved: starts for an earlier agent epoch than [epoch] or under a lower token than
-     * [fencingToken], and the removals of attempts that are not among [reportedTasks].
-     */
-    fun discardResolved(epoch: Long, fencingToken: FencingToken, reportedTasks: List<ReportedTask>) {
-        unresolved.removeIf { it.epoch < epoch || it.fencingToken < fencingToken }
-        removalSentAt.keys.removeIf { attempt -> reportedTasks.none { it.attempt == attempt } }
+    private companion object {
+        /** Workers drop responses that arrive later than 4 s after their heartbeat was sent; clock drift included. */
+        val RESPONSE_LIFETIME = 5.seconds
+
+        /** A worker reports a change at most half a second later; the message to the worker and the heartbeat take time as well. */
+        val HEARTBEAT_AFTER_CHANGE = 1.seconds
     }
 }
--- a/src/main/kotlin/copperglade/tasks/Machine.kt
+++ b/src/main/kotlin/copperglade/tasks/Machine.kt
@@ -64,7 +64,7 @@
     /**
      * The latest time at which the worker's lease may have started: when a heartbeat was last acknowledged, or when a new agent epoch
      * or a restart of the worker was first noticed, since both begin with a lease. A restart that nobody has noticed yet may have begun a
-     * later lease, which keeps only those tasks running that were started after the restart: see [Run.startedNoLaterThan].
+     * later lease, but it has none of this owner's tasks: they start only with an acknowledgement. See [Run.foundAt] for a former owner's.
      */
     var leaseRenewedAt = now
         private set
@@ -132,7 +132,7 @@
         load.updateReportedTasks(heartbeat.reportedTasks)
         evictionNoticed = heartbeat.evictionNoticeSeconds != null
         endpoint = heartbeat.endpoint
-        channel.discardResolved(epoch, fencingToken, reportedTasks)
+        channel.discardExecutedRemovals(reportedTasks)
         if (reportedTasks.any { it.state != ReportedTaskState.EXITED }) idleSince = now
     }
 
--- a/src/main/kotlin/copperglade/tasks/Run.kt
+++ b/src/main/kotlin/copperglade/tasks/Run.kt
@@ -94,15 +94,14 @@
     /** Why the run is being stopped; null if the run isn't being stopped. */
     var stopReason: StopReason? = null
 
-    /** When the start of this attempt was last sent. */
+    /** When the start of this attempt was last sent, with a heartbeat response. */
     var startSentAt = MonotonicTime.NEVER
 
     /**
-     * The latest time at which the worker may have started this attempt, as far as no direct start is in flight: when the last direct start
-     * was answered or timed out, or when the attempt was found on its machine. The task may run until the lease with which the worker's
-     * incarnation began has expired, and that incarnation began before this time.
+     * When the attempt, started by a former owner, was found on its machine. The task may run until the lease with which the worker's
+     * incarnation began, or which the former owner renewed last, has expired, and both were before this time.
      */
-    var startedNoLaterThan = MonotonicTime.NEVER
+    var foundAt = MonotonicTime.NEVER
 
     /** When the stop of this attempt was last sent. */
     var stopSentAt = MonotonicTime.NEVER
@@ -174,7 +173,7 @@
         confirmedByWorker = false
         runningSince = null
         startSentAt = MonotonicTime.NEVER
-        startedNoLaterThan = MonotonicTime.NEVER
+        foundAt = MonotonicTime.NEVER
         stopSentAt = MonotonicTime.NEVER
     }
 
--- a/src/test/kotlin/copperglade/compat/WireNamesTest.kt
+++ b/src/test/kotlin/copperglade/compat/WireNamesTest.kt
@@ -127,6 +127,12 @@
             """{"baton":4,"shift":2,$dispatches}""",
             WorkerMessageCodec.encodeCommands(FencingToken(4), epoch = 2, commands).decodeToString(),
         )
+        assertEquals(
+            """{"baton":4,"shift":2,"dispatches":[{"order":"start","box":"job-7/100000","trip":9}]}""",
+            WorkerMessageCodec
+                .encodeCommands(FencingToken(4), epoch = 2, listOf(Command.RequestHeartbeat(JobId("job-7"), Attempt(9))))
+                .decodeToString(),
+        )
         assertEquals("""{"dispatcher":"lorry-1"}""", WorkerMessageCodec.encodeRedirect(MemberId("lorry-1")).decodeToString())
         assertEquals("{}", WorkerMessageCodec.encodeRedirect(null).decodeToString())
     }
--- a/src/test/kotlin/copperglade/safety/ActionGuardTest.kt
+++ b/src/test/kotlin/copperglade/safety/ActionGuardTest.kt
@@ -115,6 +115,13 @@
         assertReported(Invariant.START_PERMITTED, Invariant.START_PERMITTED)
     }
 
+    @Test
+    fun `a start command is never sent directly`() {
+        val others = listOf(Command.Stop(TaskId(startable, 0), Attempt(1), 0.0), Command.RequestHeartbeat(startable, Attempt(1)))
+        assertEquals(others, guard.approveDirectCommands(machine, others + start(startable)))
+        assertReported(Invariant.START_WITH_RESPONSE)
+    }
+
     @Test
     fun `missing required stops are added to an answer`() {
         val heartbeat = heartbeat(listOf(startable, cancelled, ended, cancelledAndEnded, unknown))
--- a/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
+++ b/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
@@ -1,6 +1,7 @@
 package copperglade.sim
 
 import copperglade.protocol.JobId
+import copperglade.protocol.JobSpec
 import copperglade.protocol.MachineName
 import copperglade.protocol.TaskId
 import copperglade.shards.ShardMap
@@ -119,22 +120,75 @@
         assertHoldsWhileCut(site, worker.name)
     }
 
-    /** The reply is lost, so the owner hears neither of the restart nor of the start. */
+    /** The owner hears neither of the restart nor of the start. */
     @ParameterizedTest
     @ValueSource(longs = [11, 12, 13, 14, 15, 16])
-    fun `a task whose start reached a restarted machine is not started elsewhere if the reply is lost`(seed: Long) {
+    fun `a task whose start was under way when its machine restarted is not started elsewhere too early`(seed: Long) {
         val site = siteWithRoom(seed)
         val worker = machineOfFirstSmallTask(site)
         cancelServiceOn(site, worker)
         awaitClosely(site) { worker.leaseAgeMillis in 1000..1200 }
+        submitAndDisturbAtStart(site, worker.name) {
+            site.network.delayMillis = { if (it.to == worker.name && it.path == HEARTBEAT && it.isAnswer) 80.0 else 0.0 }
+            site.rebootMachineNamed(worker.name, offMillis = 20.0)
+            site.network.losesMessage = { it.from == worker.name }
+        }
+    }
+
+    /** The start reaches the restarted worker, and nothing is heard of that worker afterwards. */
+    @ParameterizedTest
+    @ValueSource(longs = [11, 12, 13, 14, 15, 16])
+    fun `a task whose start reached a restarted machine is not started elsewhere if the reply is lost`(seed: Long) {
+        val site = siteWithRoom(seed)
+        val worker = machineOfFirstSmallTask(site)
+        cancelServiceOn(site, worker)
+        site.rebootMachineNamed(worker.name, offMillis = 20.0)
+        site.run(2.0)
+        submitAndDisturbAtStart(site, worker.name) { site.network.losesMessage = { it.from == worker.name } }
+    }
+
+    /** The second restart goes unnoticed while a start reaches the worker, since its replies to direct commands are lost. */
+    @ParameterizedTest
+    @ValueSource(longs = [11, 12, 13, 14, 15, 16])
+    fun `a task that a worker started before its second restart was noticed is not started elsewhere`(seed: Long) {
+        val site = siteWithRoom(seed)
+        val worker = machineOfFirstSmallTask(site)
+        cancelServiceOn(site, worker)
+        site.rebootMachineNamed(worker.name, offMillis = 20.0)
+        // The sequence numbers of the worker's next incarnation stay below this one's for half a minute.
+        site.run(30.0)
+        site.submit(smallTask(FIRST_SMALL_TASK + 1)) { TASK_SECONDS }
+        var requested = false
+        onWire = { event ->
+            if (!requested && event.step == WireStep.REQUEST_SENT && event.to == worker.name && event.requestsHeartbeat()) {
+                requested = true
+                site.network.losesMessage = { it.to == worker.name && it.path == COMMAND }
+                site.rebootMachineNamed(worker.name, offMillis = 20.0)
+            }
+        }
+        awaitClosely(site) { site.runningTasks()[TaskId(id(FIRST_SMALL_TASK + 1), 0)]?.name == worker.name }
+        assertTrue(requested, "no heartbeat was requested")
+        site.run(6.0)
+        site.stopLosingMessages()
+        // The owner hears of the restart, and its next messages don't reach the worker.
+        onWire = { event ->
+            if (event.step == WireStep.ANSWER_SENT && event.from == worker.name) site.network.losesMessage = { it.to == worker.name }
+        }
+        site.run(SimSite.LEASE_SECONDS * 2)
+        assertEquals(emptyList<String>(), site.breaches)
+        site.assertRulesKept()
+    }
+
+    private fun WireEvent.requestsHeartbeat() = request.path == COMMAND && "/${JobSpec.MAX_TASKS}\"" in request.body.decodeToString()
+
+    /** Submits a small task and calls [disturb] as soon as its start is sent to [machine]; then no rule may be broken. */
+    private fun submitAndDisturbAtStart(site: SimSite, machine: String, disturb: () -> Unit) {
         site.submit(smallTask(FIRST_SMALL_TASK + 1)) { TASK_SECONDS }
         var startSent = false
         onWire = { event ->
-            if (!startSent && event.to == worker.name && event.startsSmallTask()) {
+            if (!startSent && event.to == machine && event.startsSmallTask()) {
                 startSent = true
-                site.network.delayMillis = { if (it.to == worker.name && it.path == COMMAND) 80.0 else 0.0 }
-                site.rebootMachineNamed(worker.name, offMillis = 20.0)
-                site.network.losesMessage = { it.from == worker.name }
+                disturb()
             }
         }
         awaitClosely(site) { startSent }
@@ -199,18 +253,18 @@
         site.assertRulesKept()
     }
 
-    /** The new owner reckons with leases that began before its grant; a start in flight may reach a worker that begins later. */
+    /** The start arrives after the release, at the worker that asked for it or, with even seeds, at none since the machine restarts. */
     @ParameterizedTest
     @ValueSource(longs = [51, 52, 53, 54, 55, 56])
     fun `a task whose start was in flight when its shard was released is not started elsewhere too early`(seed: Long) {
         val site = siteWithRoom(seed, tasks = 0)
-        site.network.delayMillis = { if (it.path == COMMAND && !it.isAnswer) SLOW_COMMAND_MILLIS else 0.0 }
+        site.network.delayMillis = { if (it.path == HEARTBEAT && it.isAnswer) SLOW_RESPONSE_MILLIS else 0.0 }
         val startArrivesAt = HashMap<String, Double>()
         var machine: String? = null
         var releases = 0
         onWire = { event ->
             val body = event.request.body.decodeToString()
-            if (event.startsTasks()) startArrivesAt[event.to] = event.atMillis + SLOW_COMMAND_MILLIS
+            if (event.startsTasks()) startArrivesAt[event.to] = event.atMillis + SLOW_RESPONSE_MILLIS
             val released = RELEASED_SHARD.find(body)?.groupValues?.get(1)
             if (machine == null && released != null && event.step == WireStep.REQUEST_SENT) {
                 releases++
@@ -219,7 +273,15 @@
                         shardOf(site, site.workerNamed(it.key)).text == released &&
                             it.value - event.atMillis > LONG_IN_FLIGHT_MILLIS
                     }?.key
-                machine?.let { restartBeforeStartArrives(site, it, startArrivesAt.getValue(it) - event.atMillis) }
+                machine?.let {
+                    loseContactBeforeStartArrives(
+                        site,
+                        it,
+                        startArrivesAt.getValue(it) - event.atMillis,
+                        restarts =
+                            seed % 2 == 0L,
+                    )
+                }
             }
         }
         var round = 0
@@ -230,11 +292,11 @@
         site.assertRulesKept()
     }
 
-    /** Turns [machine] off until just before a start arrives [inMillis] from now. None of its heartbeats arrives from then on. */
-    private fun restartBeforeStartArrives(site: SimSite, machine: String, inMillis: Double) {
+    /** None of [machine]'s heartbeats arrives from now on. If it [restarts], it is off until just before a start arrives [inMillis] from now. */
+    private fun loseContactBeforeStartArrives(site: SimSite, machine: String, inMillis: Double, restarts: Boolean) {
         // The machine beside it has no room for its service, which would keep that machine from smaller tasks.
         servicesOn(site, site.workerNamed(machine)).forEach(site::cancel)
-        site.rebootMachineNamed(machine, offMillis = inMillis - 10.0)
+        if (restarts) site.rebootMachineNamed(machine, offMillis = inMillis - 10.0)
         site.holdHeartbeats(listOf(machine))
         site.network.delayMillis = { 0.0 }
     }
@@ -250,8 +312,9 @@
         site.run(15.0)
     }
 
-    private fun WireEvent.startsTasks() =
-        step == WireStep.REQUEST_SENT && request.path == COMMAND && "\"start\"" in request.body.decodeToString()
+    private fun WireEvent.startsTasks() = step == WireStep.ANSWER_SENT && request.path == HEARTBEAT && "\"start\"" in answerBody()
+
+    private fun WireEvent.answerBody() = reply?.body?.decodeToString().orEmpty()
 
     /** Restarts and losses of the network at random moments, in each direction, also twice in a row and across a change of owner. */
     @ParameterizedTest
@@ -304,8 +367,7 @@
             .value
     }
 
-    private fun WireEvent.startsSmallTask() = step == WireStep.REQUEST_SENT && request.path == COMMAND &&
-        "job-${FIRST_SMALL_TASK + 1}/0" in request.body.decodeToString()
+    private fun WireEvent.startsSmallTask() = startsTasks() && "job-${FIRST_SMALL_TASK + 1}/0" in answerBody()
 
     /** Ends the faults, and asserts that no rule is broken and every user is answered. */
     private fun SimSite.assertRulesKept() {
@@ -328,7 +390,7 @@
         /** Small enough that a task that is released runs elsewhere at once. */
         const val TASK_IMAGE_GB = 0.005
         const val LATE_MILLIS = 6000.0
-        const val SLOW_COMMAND_MILLIS = 1300.0
+        const val SLOW_RESPONSE_MILLIS = 1300.0
         const val LONG_IN_FLIGHT_MILLIS = 900.0
         const val FIRST_MOVED_TASK = 1000
         const val MAX_ROUNDS = 10
--- a/src/test/kotlin/copperglade/sim/SiteFault.kt
+++ b/src/test/kotlin/copperglade/sim/SiteFault.kt
@@ -36,6 +36,10 @@
         after(seconds) { network.delayMillis = { 0.0 } }
     }),
     ODD_REQUESTS({ seconds -> repeat(20) { after(it * seconds / 20) { sendOddRequest() } } }),
+    EXECUTED_COMMANDS_REPEATED({ seconds ->
+        network.repeatCommandOneIn = 2
+        after(seconds) { network.repeatCommandOneIn = 0 }
+    }),
     ;
 
     /** Injects the fault into [site] for about [seconds]. */
--- a/src/test/kotlin/copperglade/soak/SoakFaults.kt
+++ b/src/test/kotlin/copperglade/soak/SoakFaults.kt
@@ -41,6 +41,11 @@
         later(ms) { network.loses = before }
     }
 
+    private fun SoakSite.repeatCommandsFor(ms: Int) {
+        network.repeatedCommandOneIn = 2
+        later(ms) { if (network.repeatedCommandOneIn > 0) network.repeatedCommandOneIn = BACKGROUND_REPEATED_COMMAND_ONE_IN }
+    }
+
     private val all = listOf(
         SoakFault("a controller ends") { _ -> crash(anyNode(), 100 + random.nextInt(3_000)) },
         SoakFault("the leader ends") { _ -> crash(leaderOrAny(), 100 + random.nextInt(3_000)) },
@@ -111,6 +116,11 @@
             network.lateCommandOneIn = 4
             later(ms) { network.lateCommandOneIn = 0 }
         },
+        SoakFault("executed commands come again") { ms -> repeatCommandsFor(ms) },
+        SoakFault("executed commands come again, and machines are back at once") { ms ->
+            repeatCommandsFor(ms)
+            repeat(4) { round -> later(round * ms / 4) { anyWorker()?.let(::rebootMachine) } }
+        },
         SoakFault("machines are deaf") { ms ->
             val deaf = someWorkers()
             loseFor(ms) { it.to in deaf }
@@ -152,6 +162,8 @@
         }
     }
 
+    /** How many executed commands there are for each one that comes again, all the time. */
+    const val BACKGROUND_REPEATED_COMMAND_ONE_IN = 10
     private const val WAVE_MS = 8_000
     private const val MIN_FAULT_MS = 1_500
     private const val MAX_FAULT_MS = 9_000
--- a/src/test/kotlin/copperglade/soak/SoakNetwork.kt
+++ b/src/test/kotlin/copperglade/soak/SoakNetwork.kt
@@ -40,6 +40,11 @@
     var lateHeartbeatOneIn = 0
     var lateCommandOneIn = 0
 
+    /** One in this many commands that were executed and answered is executed again, from a second to several leases later; 0: none. */
+    var repeatedCommandOneIn = 0
+    var repeatedCommands = 0
+        private set
+
     /** Messages that were held back, lost, late or refused: faults that had an effect. */
     var disturbed = 0
         private set
@@ -76,6 +81,7 @@
         lostAnswerOneIn = 0
         lateHeartbeatOneIn = 0
         lateCommandOneIn = 0
+        repeatedCommandOneIn = 0
         deliverHeld()
     }
 
@@ -126,11 +132,25 @@
                     handler.handle(request) {}
                 }
                 path == COMMAND && oneIn(lateCommandOneIn) -> late { handler.handle(request) {} }
+                path == COMMAND && oneIn(repeatedCommandOneIn) -> handler.handle(request, repeatOnceExecuted(handler, request, answer))
                 else -> handler.handle(request, answer)
             }
         }
     }
 
+    /** Sends the first answer on, and has [request] handled once more if it was executed. Nobody waits for the second answer. */
+    private fun repeatOnceExecuted(handler: RequestHandler, request: Request, answer: Responder) = Responder { reply ->
+        answer.send(reply)
+        if (reply.status == OK) {
+            loop.after(repeatDelay()) {
+                repeatedCommands++
+                handler.handle(request) {}
+            }
+        }
+    }
+
+    private fun repeatDelay() = (MIN_LATENESS_MS + random.nextInt(MAX_REPEAT_DELAY_MS - MIN_LATENESS_MS)).milliseconds
+
     private fun oneIn(number: Int) = number > 0 && random.nextInt(number) == 0
 
     private fun late(action: () -> Unit) {
@@ -165,8 +185,12 @@
         const val TRANSACTION = "/multi"
         const val COMMAND = "/do"
         const val HEARTBEAT = "/checkin"
+        private const val OK = 200
         private const val UNAVAILABLE = 503
         private const val MIN_LATENESS_MS = 1_000
         private const val MAX_LATENESS_MS = 9_000
+
+        /** Three times the workers' lease. */
+        private const val MAX_REPEAT_DELAY_MS = 18_000
     }
 }
--- a/src/test/kotlin/copperglade/soak/SoakRun.kt
+++ b/src/test/kotlin/copperglade/soak/SoakRun.kt
@@ -40,6 +40,7 @@
         if (!awaitHealthy(site)) return result(site, schedule, Verdict.INCONCLUSIVE, "the controllers did not come up")
         site.onLoop {
             users.start()
+            site.network.repeatedCommandOneIn = SoakFaults.BACKGROUND_REPEATED_COMMAND_ONE_IN
             lastTickMs = site.loop.now().millis
             watch(site)
         }
@@ -136,7 +137,8 @@
         }
         val figures = "jobs ${referee.jobs.size}, done ${referee.jobs.values.count { it.status == "done" }}, " +
             "cancelled ${referee.jobs.values.count { it.status == "aborted" }}, starts ${referee.starts}, troubles ${schedule.size}, " +
-            "messages disturbed ${site.network.disturbed}, own ends ${ends.size}${if (ends.isEmpty()) "" else " with status $ends"}, " +
+            "messages disturbed ${site.network.disturbed}, commands repeated ${site.network.repeatedCommands}, " +
+            "own ends ${ends.size}${if (ends.isEmpty()) "" else " with status $ends"}, " +
             "actions refused by the last check $refused, longest stall $longestStallMs ms"
         if (verdict == Verdict.PASSED) {
             if (ends.isEmpty() && refused == 0L) deleteFolder()
--- a/src/test/kotlin/copperglade/soak/SoakSite.kt
+++ b/src/test/kotlin/copperglade/soak/SoakSite.kt
@@ -50,11 +50,12 @@
         val endpoints: List<Endpoint> = (0 until options.nodes).map { node -> listen { commandsOf(node) } }
 
         private fun commandsOf(node: Int) = RequestHandler { request, responder ->
-            val present = worker ?: return@RequestHandler
+            val machine = worker?.name ?: return@RequestHandler
+            // The worker that listens when the message arrives, which may be a later one than when the message was sent.
             val handler = RequestHandler { inner, answer ->
-                present.handle(inner) { answer.send(Reply(it.status, addressed(it.body, endpoints[node]))) }
+                worker?.takeIf { it.name == machine }?.handle(inner) { answer.send(Reply(it.status, addressed(it.body, endpoints[node]))) }
             }
-            network.link(name(node), present.name, handler).handle(request, responder)
+            network.link(name(node), machine, handler).handle(request, responder)
         }
     }
 
