Log: what a controller did about a task is kept, and told where a worker reports a task it should not have

The lines that tell the hypotheses apart (who started and removed which attempt, on which machine, for which epoch, under which token, and why a run was taken for gone) existed at debug only, without the epoch, and a release had none.

Where a worker reports a task that is not assigned to it, `unknown_task_found` logs it once with the job's state, the age of the records, the authority left and what was done about the task, each with age, attempt, machine, epoch, token, channel or reason. At debug every release is a line too, and commands name the epoch. Ordinary ends are counted in one line a second (`task_exits`) in place of a `task_failed` line a task, which is at debug now like `start_refused`.

--- a/src/main/kotlin/copperglade/agents/CommandPlanner.kt
+++ b/src/main/kotlin/copperglade/agents/CommandPlanner.kt
@@ -1,5 +1,6 @@
 package copperglade.agents
 
+import copperglade.observability.ActionAudit
 import copperglade.protocol.Command
 import copperglade.protocol.MonotonicTime
 import copperglade.protocol.ReportedTask
@@ -23,6 +24,7 @@
 class CommandPlanner(
     private val state: ShardState,
     private val guard: ActionGuard,
+    private val audit: ActionAudit,
     private val clock: Clock,
 ) {
     /**
@@ -60,6 +62,7 @@
     /** An unknown task is stopped while it runs, and removed once it has exited. */
     private fun unknownTaskCommand(machine: Machine, reported: ReportedTask, now: MonotonicTime): Command? {
         if (reported.state != ReportedTaskState.EXITED) {
+            audit.recordUnknownTask(machine.name, machine.epoch, reported)
             return Command.Stop(reported.task, reported.attempt, NO_GRACE_SECONDS)
         }
         val channel = machine.channel
--- a/src/main/kotlin/copperglade/agents/HeartbeatResponses.kt
+++ b/src/main/kotlin/copperglade/agents/HeartbeatResponses.kt
@@ -61,7 +61,7 @@
     private fun compose(heartbeat: Heartbeat, commands: List<Command>): ByteArray {
         val stops = guard.requiredStops(heartbeat)
         val approved = guard.approveAnswer(heartbeat, stops + commands.withoutStopsIn(stops))
-        audit.recordCommands(heartbeat.machine, state.fencingToken, approved, channel = "answer")
+        audit.recordCommands(heartbeat.machine, heartbeat.epoch, state.fencingToken, approved, channel = "answer")
         audit.recordHeartbeatReply(heartbeat.machine, state.fencingToken, stops.size)
         return WorkerMessageCodec.encodeHeartbeatReply(state.fencingToken, approved)
     }
--- a/src/main/kotlin/copperglade/agents/ShardAgents.kt
+++ b/src/main/kotlin/copperglade/agents/ShardAgents.kt
@@ -27,13 +27,13 @@
     private val guard = control.guard
     private val audit = control.audit
     private val client = WorkerClient(connections.http, guard, audit)
-    private val planner = CommandPlanner(state, guard, loop)
+    private val planner = CommandPlanner(state, guard, audit, loop)
 
     /** Decides on which machines tasks may be placed. */
     val health = MachineHealth(state, clusterData.failureEvidence, timeouts)
 
     /** The state transitions of the shard's runs. */
-    val lifecycle = RunLifecycle(loop, outcomes)
+    val lifecycle = RunLifecycle(loop, outcomes, audit)
 
     /** The delays before tasks are started again. */
     val backoff = RetryBackoff()
@@ -47,7 +47,7 @@
     /** Stops runs. */
     val stopper = RunStopper(lifecycle, commands)
     private val profileRecorder = ProfileRecorder(clusterData.profiles, loop)
-    private val exitHandler = TaskExitHandler(state, lifecycle, outcomes, backoff, clusterData.failingJobs, profileRecorder, loop)
+    private val exitHandler = TaskExitHandler(state, lifecycle, outcomes, backoff, clusterData.failingJobs, profileRecorder, audit, loop)
 
     /** Updates the runs from the workers' reports. */
     val reportReconciler = TaskReportReconciler(state, lifecycle, stopper, commands, exitHandler, clusterData.types, guard, loop)
--- a/src/main/kotlin/copperglade/agents/TaskExitHandler.kt
+++ b/src/main/kotlin/copperglade/agents/TaskExitHandler.kt
@@ -1,5 +1,6 @@
 package copperglade.agents
 
+import copperglade.observability.ActionAudit
 import copperglade.protocol.ExitCause
 import copperglade.tasks.FailingJobs
 import copperglade.tasks.Machine
@@ -21,10 +22,12 @@
     private val backoff: RetryBackoff,
     private val failingJobs: FailingJobs,
     private val profileRecorder: ProfileRecorder,
+    private val audit: ActionAudit,
     private val clock: Clock,
 ) {
     /** Handles the report of [machine]'s worker that the task of [run] has exited for [cause]. */
     fun onExit(run: Run, machine: Machine, cause: ExitCause) {
+        audit.recordExit(cause.name.lowercase())
         when (cause) {
             ExitCause.DONE -> {
                 profileRecorder.record(run, machine)
@@ -34,14 +37,14 @@
             ExitCause.ERROR -> onFailure(run, machine)
             ExitCause.STOPPED -> lifecycle.release(run, "stopped")
             ExitCause.NO_CAPACITY, ExitCause.BUSY, ExitCause.UNKNOWN_JOB, ExitCause.OTHER -> {
-                log.info("start_refused task={} machine={} cause={}", run.task, machine.name, cause)
+                log.debug("start_refused task={} machine={} cause={}", run.task, machine.name, cause)
                 retryElsewhere(run, machine, backoff.delayAfterRefusal())
             }
         }
     }
 
     private fun onFailure(run: Run, machine: Machine) {
-        log.info("task_failed task={} machine={}", run.task, machine.name)
+        log.debug("task_failed task={} attempt={} machine={}", run.task, run.attempt, machine.name)
         val job = run.task.job
         run.failures++
         if (!failingJobs.isRecorded(job)) failingJobs.recordFailure(job, machine.name, clock.now())
--- a/src/main/kotlin/copperglade/agents/WorkerClient.kt
+++ b/src/main/kotlin/copperglade/agents/WorkerClient.kt
@@ -27,10 +27,10 @@
 
 /** Sends commands to workers over HTTP. [ActionGuard] checks the commands and [ActionAudit] records them. */
 class WorkerClient(private val http: HttpClient, private val guard: ActionGuard, private val audit: ActionAudit) {
-    /** Returns those of the [planned] commands that may be sent directly to [machine], and records them as sent under [token]. */
-    fun approve(machine: MachineName, token: FencingToken, planned: List<Command>): List<Command> {
+    /** Returns those of the [planned] commands that may be sent directly to [machine], and records them as sent under [token] for [epoch]. */
+    fun approve(machine: MachineName, epoch: Long, token: FencingToken, planned: List<Command>): List<Command> {
         val commands = guard.approveDirectCommands(machine, planned)
-        audit.recordCommands(machine, token, commands, channel = "direct")
+        audit.recordCommands(machine, epoch, token, commands, channel = "direct")
         return commands
     }
 
--- a/src/main/kotlin/copperglade/agents/WorkerCommands.kt
+++ b/src/main/kotlin/copperglade/agents/WorkerCommands.kt
@@ -67,7 +67,7 @@
 
     private fun send(machine: Machine, planned: List<Command>) {
         if (!membership.mayAct) return
-        val commands = client.approve(machine.name, state.fencingToken, planned)
+        val commands = client.approve(machine.name, machine.epoch, state.fencingToken, planned)
         planner.markSent(machine, commands)
         val sentAt = clock.now()
         machine.channel.recordCommandSent(sentAt)
--- a/src/main/kotlin/copperglade/observability/ActionAudit.kt
+++ b/src/main/kotlin/copperglade/observability/ActionAudit.kt
@@ -1,10 +1,12 @@
 package copperglade.observability
 
 import copperglade.membership.Membership
+import copperglade.protocol.Attempt
 import copperglade.protocol.Command
 import copperglade.protocol.FencingToken
 import copperglade.protocol.JobId
 import copperglade.protocol.MachineName
+import copperglade.protocol.ReportedTask
 import copperglade.protocol.TaskId
 import copperglade.safety.InvariantViolations
 import copperglade.safety.Refusal
@@ -27,12 +29,25 @@
     private val violations: InvariantViolations,
 ) {
     private val counts = TreeMap<String, Int>()
+    private val history = TaskActionHistory()
+    private val exits = TaskExitCounts(loop)
+
+    /** The unknown tasks that were logged last. */
+    private val loggedUnknownTasks = LinkedHashSet<UnknownTask>()
+
+    private data class UnknownTask(val machine: MachineName, val task: TaskId, val attempt: Attempt)
 
     /** Starts logging the counts at regular intervals. */
-    fun start() = loop.scheduleRepeating({ INTERVAL }, ::logCounts)
+    fun start() {
+        loop.scheduleRepeating({ INTERVAL }, ::logCounts)
+        exits.start()
+    }
 
-    /** Records that [commands] are sent to [machine] under [token], by [channel]: directly or in the answer to a heartbeat. */
-    fun recordCommands(machine: MachineName, token: FencingToken, commands: List<Command>, channel: String) {
+    /**
+     * Records that [commands] are sent to [machine] under [token], by [channel]: directly or in the answer to a heartbeat. [epoch] is the
+     * worker's agent epoch as far as this controller knows it.
+     */
+    fun recordCommands(machine: MachineName, epoch: Long, token: FencingToken, commands: List<Command>, channel: String) {
         for (command in commands) {
             val event = when (command) {
                 is Command.Start -> "start_sent"
@@ -41,13 +56,15 @@
                 is Command.RequestHeartbeat -> "heartbeat_requested"
             }
             count(event)
+            history.record(TaskAction(loop.now(), event, command.task, command.attempt, machine, epoch, "channel=$channel"))
             if (!log.isDebugEnabled) continue
             log.debug(
-                "{} task={} attempt={} machine={} fencing_token={} channel={} {}",
+                "{} task={} attempt={} machine={} epoch={} fencing_token={} channel={} {}",
                 event,
                 command.task,
                 command.attempt,
                 machine,
+                epoch,
                 token,
                 channel,
                 jobContext(command.task.job),
@@ -55,6 +72,46 @@
         }
     }
 
+    /** Records that [attempt] at [task] is taken for gone from [machine] for [reason], so that the task may be started again elsewhere. */
+    fun recordRelease(task: TaskId, attempt: Attempt, machine: MachineName, epoch: Long, reason: String) {
+        count("run_released")
+        history.record(TaskAction(loop.now(), "run_released", task, attempt, machine, epoch, "reason=\"$reason\""))
+        if (!log.isDebugEnabled) return
+        log.debug(
+            "run_released task={} attempt={} machine={} epoch={} reason=\"{}\" {}",
+            task,
+            attempt,
+            machine,
+            epoch,
+            reason,
+            jobContext(task.job),
+        )
+    }
+
+    /** Counts that a task has exited for [cause]. */
+    fun recordExit(cause: String) = exits.record(cause)
+
+    /**
+     * Records that [machine]'s worker reports [reported], which is not assigned to the machine, as not exited. Each is logged once, with
+     * what this controller has done about the task lately.
+     */
+    fun recordUnknownTask(machine: MachineName, epoch: Long, reported: ReportedTask) {
+        if (!loggedUnknownTasks.add(UnknownTask(machine, reported.task, reported.attempt))) return
+        if (loggedUnknownTasks.size > MAX_LOGGED_UNKNOWN_TASKS) loggedUnknownTasks.remove(loggedUnknownTasks.first())
+        count("unknown_task_found")
+        val now = loop.now()
+        log.info(
+            "unknown_task_found task={} attempt={} machine={} epoch={} state={} {} history=[{}]",
+            reported.task,
+            reported.attempt,
+            machine,
+            epoch,
+            reported.state,
+            jobContext(reported.task.job),
+            history.of(reported.task).joinToString(" ") { it.describe(now) },
+        )
+    }
+
     /** Records a 200 answer to a heartbeat of [machine], which renews the worker's lease and has [stops] stop commands. */
     fun recordHeartbeatReply(machine: MachineName, token: FencingToken, stops: Int) {
         count("heartbeat_answered")
@@ -117,6 +174,7 @@
 
     private companion object {
         val INTERVAL = 60.seconds
+        const val MAX_LOGGED_UNKNOWN_TASKS = 4096
         val log = LoggerFactory.getLogger("audit")
     }
 }
--- a/src/main/kotlin/copperglade/protocol/JobIds.kt
+++ b/src/main/kotlin/copperglade/protocol/JobIds.kt
@@ -34,6 +34,9 @@
 value class Attempt(val number: Long) {
     override fun toString() = number.toString()
 
+    /** The fencing token under which the attempt was chosen. */
+    val fencingToken: FencingToken get() = FencingToken(number ushr COUNTER_BITS)
+
     companion object {
         private const val COUNTER_BITS = 20
 
--- a/src/main/kotlin/copperglade/tasks/RunLifecycle.kt
+++ b/src/main/kotlin/copperglade/tasks/RunLifecycle.kt
@@ -1,5 +1,6 @@
 package copperglade.tasks
 
+import copperglade.observability.ActionAudit
 import copperglade.transport.Clock
 
 /**
@@ -9,7 +10,7 @@
  * Invariant: a run becomes [RunState.WAITING] or [RunState.GONE] only when its task is confirmed absent from all machines. Guards
  * against two executions of a task at the same time.
  */
-class RunLifecycle(private val clock: Clock, private val outcomes: OutcomeWriter) {
+class RunLifecycle(private val clock: Clock, private val outcomes: OutcomeWriter, private val audit: ActionAudit) {
     /** Moves [run] to the state [next] as of now; no effect if the run is already in that state. */
     fun transition(run: Run, next: RunState, reason: String) = run.transitionTo(next, reason, clock.now())
 
@@ -29,6 +30,7 @@
      */
     fun release(run: Run, reason: String) {
         if (run.state == RunState.DONE || run.state == RunState.GONE) return
+        run.machine?.let { audit.recordRelease(run.task, run.attempt, it.name, it.epoch, reason) }
         run.unbind()
         when (val stopReason = run.stopReason) {
             null, StopReason.RESTARTED -> {
