--- a/src/test/kotlin/copperglade/soak/SoakReferee.kt
+++ b/src/test/kotlin/copperglade/soak/SoakReferee.kt
@@ -24,6 +24,7 @@
         var cancelledAtMs: Long? = null
         var acceptedAtMs: Long? = null
         var finishedAtMs: Long? = null
+        var startedAtMs: Long? = null
         var lastAnswerAtMs = 0L
         val doneTasks = HashSet<Int>()
         val finished: Boolean get() = status == DONE || status == ABORTED
@@ -78,6 +79,7 @@
         starts++
         event("start $task on ${place.machine}")
         val job = jobs[task.job] ?: return breach("invented", "$task starts, and nobody submitted its job")
+        if (job.startedAtMs == null) job.startedAtMs = now()
         val before = running.put(task, place)
         if (before != null &&
             before.incarnation !== place.incarnation
@@ -156,6 +158,11 @@
         }
     }
 
+    /** How long after their acceptance jobs without dependencies first started, in milliseconds. */
+    fun startDelaysMs(): List<Double> = jobs.values
+        .filter { it.dependencies.isEmpty() }
+        .mapNotNull { job -> job.startedAtMs?.let { it - (job.acceptedAtMs ?: return@mapNotNull null).toDouble() } }
+
     /** Jobs of which something is still expected. */
     fun unfinished(): List<JobId> =
         jobs.filterValues { it.accepted && !it.finished && (!it.spec.isService || isCancelRequested(it)) }.keys.toList()
--- a/src/test/kotlin/copperglade/soak/SoakRun.kt
+++ b/src/test/kotlin/copperglade/soak/SoakRun.kt
@@ -1,5 +1,6 @@
 package copperglade.soak
 
+import copperglade.sim.describeDelays
 import copperglade.transport.Method
 import copperglade.transport.Request
 import java.nio.file.Files
@@ -136,7 +137,9 @@
             Files.lines(log).use { lines -> lines.filter { "violation=" in it && " count=" in it }.count() }
         }
         val figures = "jobs ${referee.jobs.size}, done ${referee.jobs.values.count { it.status == "done" }}, " +
-            "cancelled ${referee.jobs.values.count { it.status == "aborted" }}, starts ${referee.starts}, troubles ${schedule.size}, " +
+            "cancelled ${referee.jobs.values.count { it.status == "aborted" }}, starts ${referee.starts}, start delays ${describeDelays(
+                referee.startDelaysMs(),
+            )}, troubles ${schedule.size}, " +
             "messages disturbed ${site.network.disturbed}, commands repeated ${site.network.repeatedCommands}, " +
             "own ends ${ends.size}${if (ends.isEmpty()) "" else " with status $ends"}, " +
             "actions refused by the last check $refused, longest stall $longestStallMs ms"
