A new owner binds all tasks of a machine before it stops the cancelled ones

What callers saw: after a controller's end, running tasks of jobs that nobody had cancelled were stopped and began again elsewhere, their work lost.

Cause: a check in one path and not in another, on half of what was known. `TaskReportReconciler.reconcile` bound a worker's tasks one by one and stopped each cancelled one at once; the message with that stop also stops whatever the worker reports without a run, which were all tasks of the machine that came later in the loop.

Fix: all of a machine's tasks are bound before any of them is stopped, so no task of an assigned run is unknown when a message goes out.

--- a/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
+++ b/src/main/kotlin/copperglade/agents/TaskReportReconciler.kt
@@ -31,7 +31,9 @@
 ) {
     /** Updates the runs from the report of the fenced [machine]'s worker, and sends the worker the commands that are due. */
     fun reconcile(machine: Machine) {
-        for (reported in machine.reportedTasks) bindMissingRun(machine, reported)
+        val found = machine.reportedTasks.mapNotNull { bindMissingRun(machine, it) }
+        // Only once all of the machine's tasks are bound: a stop is sent at once, along with the stops of all unknown tasks.
+        found.filter { guard.isCancelled(it.task.job) }.forEach { stopper.stop(it, StopReason.CANCELLED) }
         for (run in machine.runs.toList()) {
             val reported = machine.reportedTask(run.task, run.attempt)
             if (reported != null) onReported(run, machine, reported) else onNotReported(run, machine)
@@ -39,16 +41,15 @@
         commands.sendDue(machine)
     }
 
-    /** Binds a missing run to the machine on which a former owner started it. */
-    private fun bindMissingRun(machine: Machine, reported: ReportedTask) {
-        val run = state.runs[reported.task] ?: return
-        if (run.state != RunState.MISSING) return
-        if (reported.state == ReportedTaskState.EXITED && reported.cause != ExitCause.DONE) return
+    /** Binds a missing run to the machine on which a former owner started it. Returns the run, or null if none was bound. */
+    private fun bindMissingRun(machine: Machine, reported: ReportedTask): Run? {
+        val run = state.runs[reported.task]?.takeIf { it.state == RunState.MISSING } ?: return null
+        if (reported.state == ReportedTaskState.EXITED && reported.cause != ExitCause.DONE) return null
         run.bind(machine, reported.attempt)
         run.foundAt = clock.now()
         run.confirmedByWorker = true
         lifecycle.transition(run, RunState.STARTING, "found on ${machine.name}")
-        if (guard.isCancelled(reported.task.job)) stopper.stop(run, StopReason.CANCELLED)
+        return run
     }
 
     private fun onReported(run: Run, machine: Machine, reported: ReportedTask) {
