--- a/src/test/kotlin/copperglade/soak/SoakFaults.kt
+++ b/src/test/kotlin/copperglade/soak/SoakFaults.kt
@@ -42,7 +42,7 @@
     }
 
     private fun SoakSite.repeatCommandsFor(ms: Int) {
-        network.repeatedCommandOneIn = 2
+        network.repeatedCommandOneIn = 1
         later(ms) { if (network.repeatedCommandOneIn > 0) network.repeatedCommandOneIn = BACKGROUND_REPEATED_COMMAND_ONE_IN }
     }
 
@@ -163,7 +163,7 @@
     }
 
     /** How many executed commands there are for each one that comes again, all the time. */
-    const val BACKGROUND_REPEATED_COMMAND_ONE_IN = 10
+    const val BACKGROUND_REPEATED_COMMAND_ONE_IN = 3
     private const val WAVE_MS = 8_000
     private const val MIN_FAULT_MS = 1_500
     private const val MAX_FAULT_MS = 9_000
