Tests: a check as strict as the one it replaced, and copies of starts without copies of their stops

FailingJobsTest: the line that replaced `all { it in workersBefore }` followed from the count of launches above it and so checked nothing more. The former line is back, word for word, over the same 60 s.

RepeatedCommandTest repeated stops and removals along with the starts, and a copy of the stop ended what the copy of the start had begun: on the sources before, a preempted or cancelled task broke nothing at a machine that was back at once.

--- a/src/test/kotlin/copperglade/sim/FailingJobsTest.kt
+++ b/src/test/kotlin/copperglade/sim/FailingJobsTest.kt
@@ -26,8 +26,6 @@
         return site
     }
 
-    private fun launchNumberOf(machine: String) = machine.substringAfter('-').toInt()
-
     private fun SimSite.cancelFailingJobs() = failingJobs.forEach(::cancel)
 
     private fun SimSite.countDoneHealthyJobs() = users.values.count {
@@ -42,11 +40,14 @@
     fun `jobs that fail on every machine take no machine out of use and end only by cancellation`(seed: Long) {
         val site = siteWithFailingJobs(seed)
         site.run(75.0)
+        // A machine that comes up later would count as a replacement, whenever it was launched.
+        site.await(20.0) { site.machinesBooting == 0 }
+        val workersBefore = site.workerNames()
         val launchedBefore = site.machinesLaunched
         site.run(60.0)
         assertEquals(16, site.countDoneHealthyJobs(), "healthy jobs done")
         assertEquals(launchedBefore, site.machinesLaunched, "machines were launched to replace healthy ones")
-        assertTrue(site.workerNames().all { launchNumberOf(it) <= launchedBefore }, "machines were replaced")
+        assertTrue(site.workerNames().all { it in workersBefore }, "machines were replaced")
         assertTrue(maxStartsOfFailingJob(site) < 60, "${maxStartsOfFailingJob(site)} starts of one failing job")
         assertTrue(failingJobs.all { site.users.getValue(it).status in listOf("queued", "running") })
         site.cancelFailingJobs()
--- a/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
+++ b/src/test/kotlin/copperglade/sim/MachineRestartTest.kt
@@ -144,7 +144,10 @@
         cancelServiceOn(site, worker)
         site.rebootMachineNamed(worker.name, offMillis = 20.0)
         site.run(2.0)
-        submitAndDisturbAtStart(site, worker.name) { site.network.losesMessage = { it.from == worker.name } }
+        submitAndDisturbAtStart(site, worker.name) {
+            site.network.losesMessage = { it.from == worker.name }
+            site.after(1.0) { assertEquals(worker.name, site.runningTasks()[TaskId(id(FIRST_SMALL_TASK + 1), 0)]?.name) }
+        }
     }
 
     /** The second restart goes unnoticed while a start reaches the worker, since its replies to direct commands are lost. */
@@ -286,6 +289,7 @@
         }
         var round = 0
         while (machine == null && round < MAX_ROUNDS) moveShardsWhileTasksStart(site, round++)
+        assertTrue(machine != null, "no start was under way to a machine of a released shard")
         assertTrue(releases > 0, "no shard was released")
         site.run(SimSite.LEASE_SECONDS * 2)
         assertEquals(emptyList<String>(), site.breaches)
--- a/src/test/kotlin/copperglade/sim/RepeatedCommandTest.kt
+++ b/src/test/kotlin/copperglade/sim/RepeatedCommandTest.kt
@@ -107,7 +107,7 @@
         return first
     }
 
-    /** Brings about [disturbance], and has the commands to [machine] arrive again afterwards. */
+    /** Brings about [disturbance], and has the starts sent to [machine] arrive again afterwards. */
     private fun disturbAndRepeat(site: SimSite, machine: String, disturbance: Disturbance) {
         val owner = site.ownerOf(machine)
         when (disturbance) {
@@ -118,7 +118,7 @@
             Disturbance.EPOCH_ENDED -> {
                 site.cutMachineNamed(machine)
                 site.run(SimSite.LEASE_SECONDS + 2.0)
-                repeatCommands(site, machine)
+                repeatStarts(site, machine)
                 site.heal()
                 site.run(2.0)
             }
@@ -126,7 +126,7 @@
             Disturbance.OWNER_CHANGED -> changeOwner(site, owner)
             Disturbance.OWNER_CHANGED_AND_MACHINE_BACK -> changeOwner(site, owner).also { rebootAndRepeatAtOnce(site, machine) }
         }
-        repeatCommands(site, machine)
+        repeatStarts(site, machine)
     }
 
     private fun changeOwner(site: SimSite, owner: Int) {
@@ -141,7 +141,7 @@
 
     private fun rebootAndRepeatAtOnce(site: SimSite, machine: String) {
         site.rebootMachineNamed(machine, OFF_MILLIS)
-        site.sim.after(OFF_MILLIS + 0.1) { repeatCommands(site, machine) }
+        site.sim.after(OFF_MILLIS + 0.1) { repeatStarts(site, machine) }
         site.run(2.0)
     }
 
@@ -149,6 +149,11 @@
         .filter { it.to == machine }
         .forEach(site.network::repeatCommand)
 
+    /** Without the stops and removals, of which copies would end at once what the copy of a start begins. */
+    private fun repeatStarts(site: SimSite, machine: String) = site.network.executedCommands
+        .filter { it.to == machine && "\"start\"" in it.request.body.decodeToString() }
+        .forEach(site.network::repeatCommand)
+
     @ParameterizedTest
     @MethodSource("orders")
     fun `a task that has left its machine is not started there again by a repeated command`(
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -128,6 +128,8 @@
 
     val machinesLaunched: Int get() = machines.cloud.launchedInAll
 
+    val machinesBooting: Int get() = machines.cloud.booting
+
     val leasesOrMachinesLost: Long get() = machines.leasesOrMachinesLost
 
     fun checkpointingTasks(): Map<TaskId, StandInWorker> = machines.checkpointingTasks()
--- a/src/test/kotlin/copperglade/standin/StandInCloud.kt
+++ b/src/test/kotlin/copperglade/standin/StandInCloud.kt
@@ -51,6 +51,9 @@
     private val machines = LinkedHashMap<String, Machine>()
     private val answers = HashMap<String, List<String>>()
 
+    /** The number of machines that were launched and are not up yet. */
+    val booting: Int get() = machines.values.count { !it.up }
+
     override fun handle(request: Request, responder: Responder) {
         if (!budget.tryTake(1, loop.now())) {
             refused++
