--- a/review/5/MistakenJobs.java
+++ b/review/6/MistakenJobs.java
@@ -81,6 +81,7 @@
         Thread.sleep(1000);
         String probe = site.submit(check(200));
         double submittedAt = Site.elapsed();
+        if (submittedAt > 24) throw new IllegalStateException("too late to wait for " + WAIT_SECONDS + " s within 120 s");
         while (!started.contains(probe) && Site.elapsed() < submittedAt + WAIT_SECONDS + 1) {
             Thread.sleep(3000);
             for (Cloud.Machine machine : site.cloud.up()) {
--- a/review/kit2/Site.java
+++ b/review/kit2/Site.java
@@ -40,6 +40,7 @@
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     final Map<String, JsonNode> jobs = new ConcurrentHashMap<>();
     Cloud cloud;
+    StateService state;
     private final Path folder;
     private final BufferedWriter record;
     private final Path temporary;
@@ -89,7 +90,7 @@
     }
 
     private void start(Case theCase) throws Exception {
-        StateService state = new StateService(200.0, 50.0, 4.0, 12);
+        state = new StateService(200.0, 50.0, 4.0, 12);
         Server stateServer = new Server(state);
         List<Integer> ports = freePorts(2 * CONTROLLERS);
         for (int node = 0; node < CONTROLLERS; node++) controllers.put("lorry-" + node, "127.0.0.1:" + ports.get(2 * node));
@@ -239,6 +240,13 @@
         return answer.status() == 200 ? answer.body().get("status").asText() : null;
     }
 
+    /** Cancels [id] at the controller [node]; returns the state that it answers, or null where there was no answer. */
+    String cancel(String id, String node) throws InterruptedException {
+        Answer answer = call("POST", controllers.get(node), "/submissions/" + id + "/cancel", new byte[0], 5.0);
+        note("cancel " + id + " at " + node + " -> " + answer.status() + " " + answer.body());
+        return answer.status() == 200 ? answer.body().get("status").asText() : null;
+    }
+
     private void killAll() {
         processes.forEach(Process::destroyForcibly);
     }
--- a/review/kit2/StateService.java
+++ b/review/kit2/StateService.java
@@ -41,6 +41,8 @@
     private final Bucket writes;
     private final int valueBytes;
     private final int transactionWrites;
+    private volatile String lateAnswerTo;
+    private volatile long lateAnswerMillis;
     private long ledger = 1;
     private long lastPermit = 0;
 
@@ -98,7 +100,12 @@
         Thread.sleep(LATENCY_MILLIS);
         if (!requests.take(1)) return Server.Reply.of(429);
         String path = request.path();
-        if (path.equals("/multi")) return multi(Json.read(request.body()), request.body().length);
+        if (path.equals("/multi")) {
+            Server.Reply reply = multi(Json.read(request.body()), request.body().length);
+            long late = lateBy(request);
+            if (late > 0) Thread.sleep(late);
+            return reply;
+        }
         if (path.equals("/kv")) return list(request);
         if (path.startsWith("/kv/")) return get(path.substring(4));
         if (path.equals("/changes")) return changes(request);
@@ -107,6 +114,19 @@
         return Server.Reply.of(400);
     }
 
+    /** The next transaction that names [job] is carried out at once like any other, and answered [millis] late. */
+    synchronized void answerLate(String job, long millis) {
+        lateAnswerMillis = millis;
+        lateAnswerTo = job;
+    }
+
+    private synchronized long lateBy(Server.Request request) {
+        String job = lateAnswerTo;
+        if (job == null || !new String(request.body(), java.nio.charset.StandardCharsets.UTF_8).contains(job)) return 0;
+        lateAnswerTo = null;
+        return lateAnswerMillis;
+    }
+
     private synchronized Server.Reply open(JsonNode body) {
         long ttl = body == null ? 0 : body.path("ttlMs").asLong();
         if (ttl < 100 || ttl > 600_000) return Server.Reply.of(400);
--- a/review/kit2/Worker.java
+++ b/review/kit2/Worker.java
@@ -102,6 +102,11 @@
         return server.address;
     }
 
+    /** The controller that this worker reports to. */
+    synchronized String reportsTo() {
+        return nodes.get(target);
+    }
+
     /** The machine is gone, with all that was on it. */
     void end() {
         over = true;
