Review: the cases' sources in folders of their own

The first review's build.sh compiles all Java files right below review/N, so it would have failed on the new cases.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 -cp 'target/lib/*' review/kit2/*.java review/[4-8]/*.java
+javac -nowarn -d target/review-2 -cp 'target/lib/*' review/kit2/*.java review/[4-8]/src/*.java
