A machine is excluded from placement only on proof; until then a task may clear it

Two jobs that fail on a machine made it faulty, unless they were known to fail everywhere, which needs two machines on which no other job fails, or three. Two such jobs on two machines never meet that, so both machines were excluded, and nothing but a completed task there, which no longer could be started, or a cancellation would have ended it. Failures alone can't tell failing jobs from faulty machines: any number of failing jobs on few machines leaves the same record as healthy jobs on faulty machines. And each controller judged by its own failures alone.

The verdict says what is known: ambiguous (its jobs fail on other machines, too), suspected, or faulty (tasks that failed there were completed elsewhere). Only the last excludes a machine from all placement. The others put it on trial: one task of each job, on an ambiguous machine if no usable one has capacity, on a suspect if no usable one admits the task at all, since otherwise the attempts of the failed jobs on other machines will tell. A task that started after a failure and completes, or outlasts the attempt that failed, refutes the failure: it then speaks against the job. A suspect gets no ordinary work, and is replaced when it is empty, as before. What other controllers have recorded of a job counts; evidence on machines of a shard that was given up is dropped. Leaders learn of machines on trial by a further code in the byte that says whether a machine is usable; earlier versions take it for usable.

--- a/src/main/kotlin/copperglade/agents/MachineHealth.kt
+++ b/src/main/kotlin/copperglade/agents/MachineHealth.kt
@@ -4,9 +4,19 @@
 import copperglade.tasks.FailureEvidence
 import copperglade.tasks.HeartbeatTimeouts
 import copperglade.tasks.Machine
+import copperglade.tasks.MachineVerdict
+import copperglade.tasks.RunState
 import copperglade.tasks.ShardState
 
-/** Decides on which machines of a shard tasks may be placed, and which machines should be replaced. */
+/**
+ * Decides on which machines of a shard tasks may be placed, and which machines should be replaced.
+ *
+ * A machine on which several jobs fail takes no ordinary work. While that may be the jobs' own fault, the machine is *on trial*: it takes
+ * one task of each job, since only a task that doesn't fail there can clear it.
+ * - Where the jobs also fail on other machines ([MachineVerdict.AMBIGUOUS]), tasks for which no usable machine has capacity.
+ * - Where they don't ([MachineVerdict.SUSPECTED]), their attempts on other machines will tell whose fault it is. So only tasks that no
+ *   usable machine admits, whether full or not: then there is no other machine to tell by. An empty machine is replaced instead.
+ */
 class MachineHealth(
     private val state: ShardState,
     private val failureEvidence: FailureEvidence,
@@ -17,11 +27,35 @@
      * whole lease. False too if the worker answers direct commands but sends no heartbeats, since its lease is about to expire.
      */
     fun isUsable(machine: Machine, now: MonotonicTime): Boolean =
-        isHealthy(machine, now) && !machine.channel.unresponsive && now < machine.lastHeartbeatAt + timeouts.heartbeatTimeout
+        failureEvidence.verdictOn(machine.name) == MachineVerdict.HEALTHY && isResponsive(machine, now)
+
+    /** Whether [machine] is on trial, see [MachineHealth]. */
+    fun isOnTrial(machine: Machine, now: MonotonicTime): Boolean = isResponsive(machine, now) &&
+        when (failureEvidence.verdictOn(machine.name)) {
+            MachineVerdict.HEALTHY, MachineVerdict.FAULTY -> false
+            MachineVerdict.AMBIGUOUS -> true
+            MachineVerdict.SUSPECTED -> machine.runs.isNotEmpty()
+        }
+
+    /**
+     * Whether the leader should assign tasks to [machine], which [isOnTrial]. False while a task that started after the last failure has
+     * neither failed nor refuted it.
+     */
+    fun awaitsTrialTask(machine: Machine, now: MonotonicTime): Boolean {
+        if (!isOnTrial(machine, now)) return false
+        val lastFailureAt = lastFailureOn(machine)
+        return machine.runs.none { run ->
+            when (run.state) {
+                RunState.STARTING, RunState.FETCHING -> true
+                RunState.RUNNING -> run.startSentAt > lastFailureAt
+                RunState.MISSING, RunState.WAITING, RunState.STOPPING, RunState.DONE, RunState.GONE -> false
+            }
+        }
+    }
 
     /** Whether [machine] should not be replaced. A worker that has answered no command for a whole lease is not expected to recover. */
     fun isWorthKeeping(machine: Machine, now: MonotonicTime): Boolean =
-        isHealthy(machine, now) && machine.channel.unresponsiveSince?.let { now < it + timeouts.lease } ?: true
+        isAvailable(machine, now) && !isHeldAgainst(machine) && machine.channel.unresponsiveSince?.let { now < it + timeouts.lease } ?: true
 
     /**
      * Returns how many of the shard's machines are unreachable, with no contact for [UNREACHABLE_HEARTBEAT_INTERVALS]. A worker whose
@@ -33,8 +67,20 @@
         return state.machines.values.count { now >= it.lastContactAt + timeout }
     }
 
-    private fun isHealthy(machine: Machine, now: MonotonicTime): Boolean = state.isFenced(machine) && !machine.draining &&
-        !machine.deleting && !machine.evictionNoticed && !failureEvidence.isFaultyMachine(machine.name) && !heartbeatTimedOut(machine, now)
+    /** When the last failure happened that is evidence against [machine]. */
+    fun lastFailureOn(machine: Machine): MonotonicTime = failureEvidence.lastFailureOn(machine.name)
+
+    /** Whether the failures on [machine] have no better explanation than the machine. */
+    fun isHeldAgainst(machine: Machine): Boolean = when (failureEvidence.verdictOn(machine.name)) {
+        MachineVerdict.HEALTHY, MachineVerdict.AMBIGUOUS -> false
+        MachineVerdict.SUSPECTED, MachineVerdict.FAULTY -> true
+    }
+
+    private fun isResponsive(machine: Machine, now: MonotonicTime): Boolean = isAvailable(machine, now) &&
+        !machine.channel.unresponsive && now < machine.lastHeartbeatAt + timeouts.heartbeatTimeout
+
+    private fun isAvailable(machine: Machine, now: MonotonicTime): Boolean = state.isFenced(machine) && !machine.draining &&
+        !machine.deleting && !machine.evictionNoticed && !heartbeatTimedOut(machine, now)
 
     private fun heartbeatTimedOut(machine: Machine, now: MonotonicTime): Boolean = now >= machine.lastContactAt + timeouts.heartbeatTimeout
 
--- a/src/main/kotlin/copperglade/agents/ShardAgents.kt
+++ b/src/main/kotlin/copperglade/agents/ShardAgents.kt
@@ -32,6 +32,9 @@
     /** Decides on which machines tasks may be placed. */
     val health = MachineHealth(state, clusterData.failureEvidence, timeouts)
 
+    /** Observes the tasks on machines on which others have failed. */
+    val trials = MachineTrials(state, clusterData.failureEvidence)
+
     /** The state transitions of the shard's runs. */
     val lifecycle = RunLifecycle(loop, outcomes, audit)
 
--- a/src/main/kotlin/copperglade/agents/TaskExitHandler.kt
+++ b/src/main/kotlin/copperglade/agents/TaskExitHandler.kt
@@ -31,7 +31,7 @@
         when (cause) {
             ExitCause.DONE -> {
                 profileRecorder.record(run, machine)
-                failingJobs.recordCompletion(run.task.job, machine.name)
+                failingJobs.recordCompletion(run, machine.name)
                 lifecycle.finish(run, RunState.DONE, "completed")
             }
             ExitCause.ERROR -> onFailure(run, machine)
@@ -47,7 +47,7 @@
         log.debug("task_failed task={} attempt={} machine={}", run.task, run.attempt, machine.name)
         val job = run.task.job
         run.failures++
-        if (!failingJobs.isRecorded(job)) failingJobs.recordFailure(job, machine.name, clock.now())
+        if (!failingJobs.isRecorded(job)) failingJobs.recordFailure(run, machine.name, clock.now())
         if (job in failingJobs) {
             backoff.recordFailure(job, clock.now())
             outcomes.recordFailingJob(run)
--- a/src/main/kotlin/copperglade/ownership/ShardOwner.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardOwner.kt
@@ -93,6 +93,7 @@
     private fun sweep(now: MonotonicTime) {
         agents.tracker.removeExpired(now)
         agents.missingRunRelease.releaseDue(now)
+        agents.trials.observe(now)
         if (membership.mayAct) machines.values.toList().forEach(agents.commands::sendDue)
     }
 
--- a/src/main/kotlin/copperglade/ownership/ShardOwnership.kt
+++ b/src/main/kotlin/copperglade/ownership/ShardOwnership.kt
@@ -2,9 +2,11 @@
 
 import copperglade.membership.Membership
 import copperglade.protocol.FencingToken
+import copperglade.protocol.JobId
 import copperglade.protocol.ShardName
 import copperglade.shards.ShardMap
 import copperglade.storage.CatchUpOutcome
+import copperglade.storage.Job
 import copperglade.storage.Replica
 import copperglade.storage.ReplicaChanges
 import copperglade.storage.ReplicaListener
@@ -33,11 +35,20 @@
         if (changes.clusterRecordsChanged) reconcile()
         for (id in changes.jobs) {
             val job = replica.jobs[id]
-            if (job?.live == null) failureEvidence.removeJob(id)
+            updateFailureEvidence(id, job)
             for (shard in owned.all) if (job == null) shard.removeJob(id) else shard.reconcile(job)
         }
     }
 
+    /** Adds what other controllers have recorded about the job [id]. */
+    private fun updateFailureEvidence(id: JobId, job: Job?) {
+        when {
+            job?.live == null -> failureEvidence.removeJob(id)
+            !job.done.isEmpty -> failureEvidence.recordCompletionElsewhere(id)
+            job.failing -> failureEvidence.recordFailing(id)
+        }
+    }
+
     /** Opens and closes shards according to the shard records. */
     fun reconcile() {
         val incarnation = membership.incarnation
@@ -79,6 +90,8 @@
         log.info("shard_closed shard={}", shard.name)
         owned.remove(shard.name)
         shard.close()
+        // The next owner sees what happens on the machines from now on, and this process doesn't.
+        shard.machines.keys.forEach(failureEvidence::removeMachine)
     }
 
     /** Releases the shards [names], which the leader moves to other controllers. This process stops acting for the shards first. */
--- a/src/main/kotlin/copperglade/placement/Placer.kt
+++ b/src/main/kotlin/copperglade/placement/Placer.kt
@@ -13,6 +13,9 @@
 import copperglade.tasks.RunState
 import kotlin.time.Duration.Companion.seconds
 
+/** The machines of a shard on which runs may be placed. Those [onTrial] get a run only as [PlacementActions.mayTry] permits. */
+internal class PlacementTargets(val usable: List<Machine>, val onTrial: List<Machine>)
+
 /** The decisions and actions of a shard's owner that a [Placer] calls. */
 internal interface PlacementActions {
     /** Returns whether tasks of lower priority may be preempted for [run]. */
@@ -21,6 +24,13 @@
     /** Returns whether [run] must avoid [machine] because the run's job has just failed there. */
     fun mustAvoid(run: Run, machine: Machine): Boolean
 
+    /**
+     * Returns whether [run] may be placed on [machine], which is on trial.
+     *
+     * @param usableMachineAdmits whether the run could be placed on a usable machine of the shard if that were empty.
+     */
+    fun mayTry(run: Run, machine: Machine, usableMachineAdmits: Boolean): Boolean
+
     fun start(run: Run, machine: Machine)
 
     fun preempt(victim: Run)
@@ -38,15 +48,18 @@
     private val requestOf: (TaskId) -> Resources?,
     private val actions: PlacementActions,
 ) {
-    /** A usable machine, and its free capacity less the runs that this round has placed there. */
-    private class Candidate(val machine: Machine, val type: MachineType, var free: Resources) {
+    /** A machine that is usable or on trial, and its free capacity less the runs that this round has placed there. */
+    private class Candidate(val machine: Machine, val type: MachineType, val onTrial: Boolean, var free: Resources) {
         /** Built on demand: most machines are never considered for preemption. */
         private val preemptible by lazy(
             LazyThreadSafetyMode.NONE,
         ) { machine.runs.filter { !it.isPreemptedForWaitingRun }.preemptibleCapacity() }
 
         /** Returns whether a task of [spec] fits after preempting all tasks of lower priority. */
-        fun fitsWithPreemption(spec: JobSpec): Boolean = preemptible.fitsWithPreemption(spec, free)
+        fun fitsWithPreemption(spec: JobSpec): Boolean = !onTrial && preemptible.fitsWithPreemption(spec, free)
+
+        /** Returns whether a task of [spec] could be placed here if the machine were empty. */
+        fun admits(spec: JobSpec): Boolean = spec.request.fitsIn(type.capacity) && spec.allows(machine.typeName, machine.zone, machine.spot)
     }
 
     private class ScoredCandidate(val candidate: Candidate, val cost: Double)
@@ -63,17 +76,19 @@
     }
 
     /**
-     * Starts those of the [waiting] runs that fit on [usable] machines. For each of the others, preempts tasks of lower priority,
-     * or returns the run to the leader once it has waited for [MAX_WAIT_FOR_CAPACITY].
+     * Starts those of the [waiting] runs that fit on usable [targets], or else on targets on trial. For each of the others, preempts
+     * tasks of lower priority, or returns the run to the leader once it has waited for [MAX_WAIT_FOR_CAPACITY].
      */
-    fun place(waiting: List<Run>, usable: List<Machine>, now: MonotonicTime) {
-        val candidates = usable.mapNotNull { machine ->
-            types[machine.typeName]?.let { Candidate(machine, it, machine.freeCapacity(it, now, requestOf)) }
-        }
+    fun place(waiting: List<Run>, targets: PlacementTargets, now: MonotonicTime) {
+        val usable = targets.usable.mapNotNull { candidate(it, onTrial = false, now) }
+        val candidates = usable + targets.onTrial.mapNotNull { candidate(it, onTrial = true, now) }
         val round = Round(candidates, now)
         for (run in waiting.sortedWith(compareBy({ it.spec.priority }, { it.acceptedAtMillis }, { it.task.index }))) place(run, round)
     }
 
+    private fun candidate(machine: Machine, onTrial: Boolean, now: MonotonicTime): Candidate? =
+        types[machine.typeName]?.let { Candidate(machine, it, onTrial, machine.freeCapacity(it, now, requestOf)) }
+
     private fun place(run: Run, round: Round) {
         if (run.task.job in round.unplaceableJobs) return returnToLeaderIfExpired(run, round)
         val selected = select(run, round.candidates)
@@ -97,10 +112,10 @@
         returnToLeaderIfExpired(run, round)
     }
 
-    /** Reserves the allowed machine with the most free CPUs. Without this, smaller tasks would take all capacity that is freed. */
+    /** Reserves the allowed usable machine with the most free CPUs. Without this, smaller tasks would take all capacity that is freed. */
     private fun reserveLargestMachine(run: Run, round: Round) {
         round.candidates
-            .filter { isAllowed(run.spec, it.machine) }
+            .filter { !it.onTrial && isAllowed(run.spec, it.machine) }
             .maxByOrNull { it.free.cpus }
             ?.free = Resources.ZERO
     }
@@ -113,18 +128,23 @@
 
     /**
      * Returns the restart target of [run] if the run has one that fits, else the cheapest machine, then the fullest, so that other
-     * machines become idle. Null where no machine fits.
+     * machines become idle; a machine on trial only if no other fits. Null where no machine fits.
      */
     private fun select(run: Run, candidates: List<Candidate>): Candidate? = candidates
         .filter {
-            run.spec.request.fitsIn(it.free) && isAllowed(run.spec, it.machine) && it.machine.name !in run.avoidedMachines &&
+            mayPlaceOn(it, run, candidates) && run.spec.request.fitsIn(it.free) && isAllowed(run.spec, it.machine) &&
+                it.machine.name !in run.avoidedMachines &&
                 !actions.mustAvoid(run, it.machine) && it.machine.reportedTasks.none { reported -> reported.task == run.task }
         }.minWithOrNull(
-            compareBy<Candidate> { if (it.machine.name == run.restartTarget) 0 else 1 }
+            compareBy<Candidate> { it.onTrial }
+                .thenBy { if (it.machine.name == run.restartTarget) 0 else 1 }
                 .thenBy { cost(run.spec, it, preempts = false) }
                 .thenBy { it.free.cpus },
         )
 
+    private fun mayPlaceOn(candidate: Candidate, run: Run, candidates: List<Candidate>): Boolean = !candidate.onTrial ||
+        actions.mayTry(run, candidate.machine, usableMachineAdmits = candidates.any { !it.onTrial && it.admits(run.spec) })
+
     private fun cost(spec: JobSpec, candidate: Candidate, preempts: Boolean): Double {
         val imageCached = candidate.machine.hasImage(spec.image) || candidate.machine.isFetching(spec.image)
         return PlacementCost.of(spec, candidate.type, candidate.machine.spot, imageCached, preempts)
--- a/src/main/kotlin/copperglade/placement/ShardPlacement.kt
+++ b/src/main/kotlin/copperglade/placement/ShardPlacement.kt
@@ -37,7 +37,9 @@
         returnAllButOneRetry()
         val waiting = state.runs.waiting.filter { eligibility.mayStart(it, now) }
         if (waiting.isEmpty()) return
-        placer.place(waiting, state.machines.values.filter { health.isUsable(it, now) }, now)
+        val machines = state.machines.values
+        val targets = PlacementTargets(machines.filter { health.isUsable(it, now) }, machines.filter { health.isOnTrial(it, now) })
+        placer.place(waiting, targets, now)
         // Each machine gets all of its starts in one message.
         machinesWithPendingStarts.forEach(commands::sendDue)
         machinesWithPendingStarts.clear()
@@ -60,6 +62,12 @@
 
         override fun mustAvoid(run: Run, machine: Machine): Boolean = eligibility.mustAvoid(run, machine)
 
+        /** A run that was assigned before the failures may have been meant for another machine: the leader decides again. */
+        override fun mayTry(run: Run, machine: Machine, usableMachineAdmits: Boolean): Boolean {
+            if (machine.runs.any { it.task.job == run.task.job }) return false
+            return !health.isHeldAgainst(machine) || (!usableMachineAdmits && run.stateSince > health.lastFailureOn(machine))
+        }
+
         override fun start(run: Run, machine: Machine) {
             run.bind(machine, state.nextAttempt())
             lifecycle.transition(run, RunState.STARTING, "placed")
--- a/src/main/kotlin/copperglade/placement/ShardSummary.kt
+++ b/src/main/kotlin/copperglade/placement/ShardSummary.kt
@@ -52,6 +52,7 @@
             zone = machine.zone,
             spot = machine.spot,
             usable = health.isUsable(machine, now),
+            onTrial = health.awaitsTrialTask(machine, now),
             worthKeeping = health.isWorthKeeping(machine, now),
             idleMillis = if (machine.isEmpty) now.millis - machine.idleSince.millis else 0,
             free = free,
--- a/src/main/kotlin/copperglade/placement/StragglerDetector.kt
+++ b/src/main/kotlin/copperglade/placement/StragglerDetector.kt
@@ -16,6 +16,7 @@
 import copperglade.tasks.FailureEvidence
 import copperglade.tasks.HeartbeatTimeouts
 import copperglade.tasks.Machine
+import copperglade.tasks.MachineVerdict
 import copperglade.tasks.Run
 import copperglade.tasks.RunState
 import org.slf4j.LoggerFactory
@@ -74,7 +75,8 @@
     }
 
     private fun isPossibleTarget(machine: Machine, now: MonotonicTime): Boolean =
-        !machine.draining && !machine.deleting && !machine.evictionNoticed && !failureEvidence.isFaultyMachine(machine.name) &&
+        !machine.draining && !machine.deleting && !machine.evictionNoticed &&
+            failureEvidence.verdictOn(machine.name) == MachineVerdict.HEALTHY &&
             now < machine.lastContactAt + timeouts.heartbeatIntervals(MAX_HEARTBEAT_INTERVALS)
 
     private fun nextInRotation(stragglers: List<Run>): List<Run> {
--- a/src/main/kotlin/copperglade/protocol/PeerMessageCodec.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerMessageCodec.kt
@@ -22,6 +22,11 @@
     private const val CANCELLATIONS_VERSION = 1
     private const val MAX_LENGTH = 100_000
 
+    // Versions that don't know machines on trial take any code but [UNUSABLE_CODE] for a usable machine.
+    private const val UNUSABLE_CODE = 0
+    private const val USABLE_CODE = 1
+    private const val ON_TRIAL_CODE = 2
+
     /** Encodes a status for [decodeStatus]. */
     fun encodeStatus(status: PeerStatus): ByteArray {
         val out = Buffer()
@@ -106,7 +111,7 @@
         writeInt(strings.indexOf(machine.type))
         writeInt(strings.indexOf(machine.zone))
         writeFlag(machine.spot)
-        writeFlag(machine.usable)
+        writeByte(placementCode(machine))
         writeFlag(machine.worthKeeping)
         writeLong(machine.idleMillis)
         writeResources(machine.free)
@@ -117,14 +122,26 @@
         writeItems(machine.images) { writeInt(strings.indexOf(it.text)) }
     }
 
+    private fun placementCode(machine: MachineAvailability): Int = when {
+        machine.usable -> USABLE_CODE
+        machine.onTrial -> ON_TRIAL_CODE
+        else -> UNUSABLE_CODE
+    }
+
     private fun Buffer.readMachine(strings: List<String>): MachineAvailability {
         fun readString(): String = strings.getOrNull(readInt()) ?: throw IllegalArgumentException("string index out of range")
+        val name = MachineName(readText())
+        val type = readString()
+        val zone = readString()
+        val spot = readFlag()
+        val placementCode = readByte().toInt()
         return MachineAvailability(
-            name = MachineName(readText()),
-            type = readString(),
-            zone = readString(),
-            spot = readFlag(),
-            usable = readFlag(),
+            name = name,
+            type = type,
+            zone = zone,
+            spot = spot,
+            usable = placementCode != UNUSABLE_CODE && placementCode != ON_TRIAL_CODE,
+            onTrial = placementCode == ON_TRIAL_CODE,
             worthKeeping = readFlag(),
             idleMillis = readLong(),
             free = readResources(),
--- a/src/main/kotlin/copperglade/protocol/PeerStatus.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerStatus.kt
@@ -4,6 +4,8 @@
  * The capacity of one machine, as reported by the shard owner.
  *
  * @property usable false where no further task should be started, such as on a machine that the cloud is about to reclaim.
+ * @property onTrial whether the machine, which is not usable, may get one task of each job: a task that fits on no usable machine now,
+ *   or, if the machine is not [worthKeeping], a task that no usable machine admits.
  * @property worthKeeping false where the machine should be replaced.
  * @property idleMillis the time since the last task left the machine; 0 while the machine has tasks.
  * @property preemptible by priority, the capacity that stopping the tasks of that priority would free.
@@ -14,6 +16,7 @@
     val zone: String,
     val spot: Boolean,
     val usable: Boolean,
+    val onTrial: Boolean,
     val worthKeeping: Boolean,
     val idleMillis: Long,
     val free: Resources,
@@ -56,7 +59,7 @@
         val maxMachines = (maxBytes - BYTES_BESIDE_MACHINES) / BYTES_PER_MACHINE
         val chosen = shards
             .flatMap { it.machines }
-            .filter { it.usable && it.free.cpus > 0.0 }
+            .filter { (it.usable || it.onTrial) && it.free.cpus > 0.0 }
             .sortedByDescending { it.free.cpus }
             .take(maxMachines.coerceAtLeast(0))
             .mapTo(HashSet()) { it.name }
--- a/src/main/kotlin/copperglade/scheduling/MachineSelector.kt
+++ b/src/main/kotlin/copperglade/scheduling/MachineSelector.kt
@@ -12,7 +12,19 @@
 internal class MachineSelector(private val types: MachineTypeCatalog, private val zoneOf: (ShardName) -> String) {
     /** A machine that could take tasks of a job, with or without preemption, and the [PlacementCost] of a task there. */
     private class ScoredMachine(val capacity: MachineCapacity, val preempts: Boolean, val cost: Double) {
-        fun fits(spec: JobSpec): Boolean = !capacity.isReserved &&
+        private var hasTaskOfJob = false
+
+        /** Whether a machine on trial, which has got its task of the job, has room for another job's. */
+        fun isKeptFree(spec: JobSpec): Boolean = hasTaskOfJob && capacity.isOnTrial && hasRoom(spec)
+
+        fun fits(spec: JobSpec): Boolean = !(capacity.isOnTrial && hasTaskOfJob) && hasRoom(spec)
+
+        fun allocate(spec: JobSpec) {
+            hasTaskOfJob = true
+            capacity.allocate(spec)
+        }
+
+        private fun hasRoom(spec: JobSpec): Boolean = !capacity.isReserved &&
             if (preempts) capacity.fitsWithPreemption(spec) else spec.request.fitsIn(capacity.free)
     }
 
@@ -20,9 +32,12 @@
     private class Cursor(private val machines: List<ScoredMachine>, private val spec: JobSpec, private val zones: ZoneConstraint) {
         private var index = 0
 
-        fun current(): MachineCapacity? {
+        /** Whether another job with the same spec could get a task where this one can't. */
+        val leavesRoomForOtherJobs: Boolean get() = machines.any { it.isKeptFree(spec) }
+
+        fun current(): ScoredMachine? {
             while (index < machines.size && !canTakeTask(machines[index])) index++
-            return machines.getOrNull(index)?.capacity
+            return machines.getOrNull(index)
         }
 
         private fun canTakeTask(machine: ScoredMachine) = machine.fits(spec) && zones.allows(machine.capacity.machine.zone)
@@ -47,14 +62,14 @@
         while (task < spec.tasks && choices.size < maxTasks && usage.allows(spec.request)) {
             val machine = machines.current()
             if (machine == null) {
-                round.markFullFor(spec)
+                if (!machines.leavesRoomForOtherJobs) round.markFullFor(spec)
                 reserveLargestMachine(spec, zones, round)
                 break
             }
             machine.allocate(spec)
-            zones.add(machine.machine.zone)
+            zones.add(machine.capacity.machine.zone)
             usage.addUsed(spec.request)
-            choices += PlacementChoice(task, machine)
+            choices += PlacementChoice(task, machine.capacity)
             task = assigned.nextClearBit(task + 1)
         }
         return choices
@@ -66,31 +81,30 @@
         return tasks
     }
 
-    /** Reserves the allowed machine with the most free CPUs, so that capacity accumulates on it until the task fits. */
+    /** Reserves the allowed usable machine with the most free CPUs, so that capacity accumulates on it until the task fits. */
     private fun reserveLargestMachine(spec: JobSpec, zones: ZoneConstraint, round: RoundCapacity) {
         var largest: MachineCapacity? = null
         for (capacity in round.machines) {
-            if (capacity.isReserved || (largest != null && capacity.free.cpus <= largest.free.cpus)) continue
+            if (capacity.isReserved || capacity.isOnTrial || (largest != null && capacity.free.cpus <= largest.free.cpus)) continue
             if (isAllowed(spec, zones, capacity)) largest = capacity
         }
         largest?.isReserved = true
     }
 
-    /** Returns the machines that could take tasks of the job, cheapest first, then fullest. */
+    /** Returns the machines that could take tasks of the job: usable ones first, then the cheapest, then the fullest. */
     private fun score(job: SchedulableJob, zones: ZoneConstraint, round: RoundCapacity): List<ScoredMachine> {
         val spec = job.spec
         val preferredShards = preferredShards(job, round)
         val scored = ArrayList<ScoredMachine>()
-        for (capacity in round.machines) {
-            if (capacity.isReserved) continue
+        for (capacity in eligibleMachines(spec, zones, round)) {
             val fits = spec.request.fitsIn(capacity.free)
-            val preempts = !job.job.failing && capacity.fitsWithPreemption(spec)
-            if ((!fits && !preempts) || !isAllowed(spec, zones, capacity)) continue
+            val preempts = !job.job.failing && !capacity.isOnTrial && capacity.fitsWithPreemption(spec)
+            if (!fits && !preempts) continue
             val shardCost = if (capacity.shard in preferredShards) 0.0 else FURTHER_SHARD_COST_SECONDS
             if (fits) scored += ScoredMachine(capacity, preempts = false, cost(spec, capacity, preempts = false) + shardCost)
             if (preempts) scored += ScoredMachine(capacity, preempts = true, cost(spec, capacity, preempts = true) + shardCost)
         }
-        scored.sortWith(CHEAPEST_THEN_FULLEST)
+        scored.sortWith(USABLE_THEN_CHEAPEST_THEN_FULLEST)
         return scored
     }
 
@@ -99,6 +113,18 @@
         return spec.allows(machine.type, machine.zone, machine.spot) && zones.allows(machine.zone)
     }
 
+    /** Returns the machines that [spec] allows, without those of last resort if a usable machine admits its tasks. */
+    private fun eligibleMachines(spec: JobSpec, zones: ZoneConstraint, round: RoundCapacity): List<MachineCapacity> {
+        val allowed = round.machines.filter { !it.isReserved && isAllowed(spec, zones, it) }
+        if (allowed.none { it.isLastResort }) return allowed
+        val usableMachineAdmits = round.machines.any { !it.isOnTrial && admits(spec, zones, it) }
+        return allowed.filter { !(it.isLastResort && usableMachineAdmits) }
+    }
+
+    /** Returns whether the machine could take a task of [spec] if it were empty. */
+    private fun admits(spec: JobSpec, zones: ZoneConstraint, capacity: MachineCapacity): Boolean =
+        isAllowed(spec, zones, capacity) && types[capacity.machine.type]?.let { spec.request.fitsIn(it.capacity) } ?: false
+
     /** Returns the shards that the job should stay in: the fewer shards a job uses, the fewer records are written for it. */
     private fun preferredShards(job: SchedulableJob, round: RoundCapacity): Set<ShardName> {
         if (job.assigned.isNotEmpty()) return job.assigned.mapTo(HashSet()) { it.shard }
@@ -117,14 +143,7 @@
         const val FURTHER_SHARD_COST_SECONDS = 0.4
         const val SHARDS_OF_NEW_JOB = 2
 
-        val CHEAPEST_THEN_FULLEST = Comparator<ScoredMachine> { a, b ->
-            val byCost = a.cost.compareTo(b.cost)
-            if (byCost != 0) {
-                byCost
-            } else {
-                a.capacity.free.cpus
-                    .compareTo(b.capacity.free.cpus)
-            }
-        }
+        val USABLE_THEN_CHEAPEST_THEN_FULLEST =
+            compareBy<ScoredMachine>({ it.capacity.isOnTrial }, { it.cost }, { it.capacity.free.cpus })
     }
 }
--- a/src/main/kotlin/copperglade/scheduling/RoundCapacity.kt
+++ b/src/main/kotlin/copperglade/scheduling/RoundCapacity.kt
@@ -3,7 +3,7 @@
 import copperglade.protocol.JobSpec
 import copperglade.protocol.ShardName
 
-/** The usable machines of one scheduling round. Their capacity only shrinks until the round ends. */
+/** The machines of one scheduling round that are usable or on trial. Their capacity only shrinks until the round ends. */
 internal class RoundCapacity(val machines: List<MachineCapacity>) {
     val shards: List<ShardName> = machines.mapTo(LinkedHashSet()) { it.shard }.toList()
 
--- a/src/main/kotlin/copperglade/scheduling/Scheduler.kt
+++ b/src/main/kotlin/copperglade/scheduling/Scheduler.kt
@@ -52,7 +52,7 @@
         val waiting = jobs.filter { isWaiting(it) && (isFullRound || it.isUrgent) }
         if (waiting.isEmpty()) return
         openBatchWindows(now, isFullRound)
-        val capacity = RoundCapacity(capacityTable.capacities().filter { it.machine.usable })
+        val capacity = RoundCapacity(capacityTable.capacities().filter { it.machine.usable || it.machine.onTrial })
         if (capacity.machines.isEmpty()) return
         val plan = AssignmentPlan()
         val queue = JobQueue(policy, loop.wallMillis())
--- a/src/main/kotlin/copperglade/tasks/FailingJobs.kt
+++ b/src/main/kotlin/copperglade/tasks/FailingJobs.kt
@@ -28,9 +28,10 @@
     /** Whether a task of [job] has failed on [machine] too recently for another task of the job to be placed there. */
     fun failedRecentlyOn(job: JobId, machine: MachineName, now: MonotonicTime): Boolean = failureEvidence.shouldAvoid(job, machine, now)
 
-    /** Records that a task of [job] has failed on [machine]. */
-    fun recordFailure(job: JobId, machine: MachineName, now: MonotonicTime) = failureEvidence.recordFailure(job, machine, now)
+    /** Records that the task of [run] has failed on [machine]. */
+    fun recordFailure(run: Run, machine: MachineName, now: MonotonicTime) =
+        failureEvidence.recordFailure(run.task, machine, run.attemptDuration(now), now)
 
-    /** Records that a task of [job] has completed on [machine]. */
-    fun recordCompletion(job: JobId, machine: MachineName) = failureEvidence.recordCompletion(job, machine)
+    /** Records that the task of [run] has completed on [machine]. */
+    fun recordCompletion(run: Run, machine: MachineName) = failureEvidence.recordCompletion(run.task, machine, run.startSentAt)
 }
--- a/src/main/kotlin/copperglade/tasks/Run.kt
+++ b/src/main/kotlin/copperglade/tasks/Run.kt
@@ -7,6 +7,8 @@
 import copperglade.protocol.TaskId
 import copperglade.safety.Refusal
 import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The state of a run between its assignment to the shard and its outcome. */
 enum class RunState {
@@ -152,6 +154,12 @@
             RunState.MISSING, RunState.WAITING, RunState.DONE, RunState.GONE -> false
         }
 
+    /** The time since this attempt was started; where a former owner started it, since it was found. Zero if neither is known. */
+    fun attemptDuration(now: MonotonicTime): Duration {
+        val since = maxOf(startSentAt, foundAt)
+        return if (since == MonotonicTime.NEVER) Duration.ZERO else (now.millis - since.millis).milliseconds
+    }
+
     /** Moves the run to the state [next]; no effect if the run is already in that state. */
     fun transitionTo(next: RunState, reason: String, now: MonotonicTime) {
         if (next == state) return
--- a/src/test/kotlin/copperglade/membership/PeerStatusExchangeTest.kt
+++ b/src/test/kotlin/copperglade/membership/PeerStatusExchangeTest.kt
@@ -44,6 +44,7 @@
         "zone-with-a-long-name",
         spot = true,
         usable = true,
+        onTrial = false,
         worthKeeping = true,
         idleMillis = 5,
         free = Resources(1.0, 2.0, 3.0),
--- a/src/test/kotlin/copperglade/protocol/PeerMessageCodecTest.kt
+++ b/src/test/kotlin/copperglade/protocol/PeerMessageCodecTest.kt
@@ -27,6 +27,7 @@
             "z",
             spot = true,
             usable = true,
+            onTrial = false,
             worthKeeping = true,
             idleMillis = 5,
             free = Resources(1.0, 2.0, 3.0),
--- a/src/test/kotlin/copperglade/sim/SimSite.kt
+++ b/src/test/kotlin/copperglade/sim/SimSite.kt
@@ -178,6 +178,8 @@
     var faultFreeSinceMillis: Double? by referee::faultFreeSinceMillis
     var onJobComplete: (SimUser) -> Unit by referee::onJobComplete
     var fails: (task: TaskId, machine: String) -> Boolean by referee::fails
+    var failsAfterSeconds: Double by referee::failsAfterSeconds
+    var onEnded: (task: TaskId, machine: String, done: Boolean) -> Unit by referee::onEnded
 
     fun runningTasks(): Map<TaskId, StandInWorker> = referee.runningTasks
 
--- a/src/test/kotlin/copperglade/transport/HttpConnectionsTest.kt
+++ b/src/test/kotlin/copperglade/transport/HttpConnectionsTest.kt
@@ -158,6 +158,7 @@
                 "zone",
                 spot = false,
                 usable = true,
+                onTrial = false,
                 worthKeeping = true,
                 idleMillis = 0,
                 free = Resources(1.0, 0.0, 2.0),
