A suspect is tried where no usable machine has capacity, while ordinary tasks hold it

A suspected machine got no task while a usable machine admitted it, since the failed jobs' attempts there would tell whose fault the failures are. Where the usable machines are full for long there are no such attempts, and the reason for the exclusion is void: a sound job was left waiting beside two suspects with 13 free CPUs each, on two controllers that each knew one machine's failures.

A suspect is on trial like an ambiguous machine: one task of each job for which no usable machine has capacity. It is on trial only while it has a task from before the last failure, so that trials keep no machine from being emptied and replaced. The condition on what other machines admit goes, in the leader and in the placer.

--- a/src/main/kotlin/copperglade/agents/MachineHealth.kt
+++ b/src/main/kotlin/copperglade/agents/MachineHealth.kt
@@ -12,10 +12,11 @@
  * Decides on which machines of a shard tasks may be placed, and which machines should be replaced.
  *
  * A machine on which several jobs fail takes no ordinary work. While that may be the jobs' own fault, the machine is *on trial*: it takes
- * one task of each job, since only a task that doesn't fail there can clear it.
- * - Where the jobs also fail on other machines ([MachineVerdict.AMBIGUOUS]), tasks for which no usable machine has capacity.
- * - Where they don't ([MachineVerdict.SUSPECTED]), their attempts on other machines will tell whose fault it is. So only tasks that no
- *   usable machine admits, whether full or not: then there is no other machine to tell by. An empty machine is replaced instead.
+ * one task of each job for which no usable machine has capacity, since only a task that doesn't fail there can clear it. While a usable
+ * machine has capacity, the failed jobs' attempts there will tell whose fault it is.
+ *
+ * Where only its failures speak ([MachineVerdict.SUSPECTED]), a machine is replaced once it is empty. It is on trial only as long as it has
+ * a task from before the last failure, so that trials don't delay the replacement.
  */
 class MachineHealth(
     private val state: ShardState,
@@ -34,7 +35,7 @@
         when (failureEvidence.verdictOn(machine.name)) {
             MachineVerdict.HEALTHY, MachineVerdict.FAULTY -> false
             MachineVerdict.AMBIGUOUS -> true
-            MachineVerdict.SUSPECTED -> machine.runs.isNotEmpty()
+            MachineVerdict.SUSPECTED -> machine.runs.any { it.startSentAt <= lastFailureOn(machine) }
         }
 
     /**
--- a/src/main/kotlin/copperglade/placement/Placer.kt
+++ b/src/main/kotlin/copperglade/placement/Placer.kt
@@ -24,12 +24,8 @@
     /** Returns whether [run] must avoid [machine] because the run's job has just failed there. */
     fun mustAvoid(run: Run, machine: Machine): Boolean
 
-    /**
-     * Returns whether [run] may be placed on [machine], which is on trial.
-     *
-     * @param usableMachineAdmits whether the run could be placed on a usable machine of the shard if that were empty.
-     */
-    fun mayTry(run: Run, machine: Machine, usableMachineAdmits: Boolean): Boolean
+    /** Returns whether [run] may be placed on [machine], which is on trial. */
+    fun mayTry(run: Run, machine: Machine): Boolean
 
     fun start(run: Run, machine: Machine)
 
@@ -57,9 +53,6 @@
 
         /** Returns whether a task of [spec] fits after preempting all tasks of lower priority. */
         fun fitsWithPreemption(spec: JobSpec): Boolean = !onTrial && preemptible.fitsWithPreemption(spec, free)
-
-        /** Returns whether a task of [spec] could be placed here if the machine were empty. */
-        fun admits(spec: JobSpec): Boolean = spec.request.fitsIn(type.capacity) && spec.allows(machine.typeName, machine.zone, machine.spot)
     }
 
     private class ScoredCandidate(val candidate: Candidate, val cost: Double)
@@ -132,7 +125,7 @@
      */
     private fun select(run: Run, candidates: List<Candidate>): Candidate? = candidates
         .filter {
-            mayPlaceOn(it, run, candidates) && run.spec.request.fitsIn(it.free) && isAllowed(run.spec, it.machine) &&
+            (!it.onTrial || actions.mayTry(run, it.machine)) && run.spec.request.fitsIn(it.free) && isAllowed(run.spec, it.machine) &&
                 it.machine.name !in run.avoidedMachines &&
                 !actions.mustAvoid(run, it.machine) && it.machine.reportedTasks.none { reported -> reported.task == run.task }
         }.minWithOrNull(
@@ -142,9 +135,6 @@
                 .thenBy { it.free.cpus },
         )
 
-    private fun mayPlaceOn(candidate: Candidate, run: Run, candidates: List<Candidate>): Boolean = !candidate.onTrial ||
-        actions.mayTry(run, candidate.machine, usableMachineAdmits = candidates.any { !it.onTrial && it.admits(run.spec) })
-
     private fun cost(spec: JobSpec, candidate: Candidate, preempts: Boolean): Double {
         val imageCached = candidate.machine.hasImage(spec.image) || candidate.machine.isFetching(spec.image)
         return PlacementCost.of(spec, candidate.type, candidate.machine.spot, imageCached, preempts)
--- a/src/main/kotlin/copperglade/placement/ShardPlacement.kt
+++ b/src/main/kotlin/copperglade/placement/ShardPlacement.kt
@@ -63,10 +63,8 @@
         override fun mustAvoid(run: Run, machine: Machine): Boolean = eligibility.mustAvoid(run, machine)
 
         /** A run that was assigned before the failures may have been meant for another machine: the leader decides again. */
-        override fun mayTry(run: Run, machine: Machine, usableMachineAdmits: Boolean): Boolean {
-            if (machine.runs.any { it.task.job == run.task.job }) return false
-            return !health.isHeldAgainst(machine) || (!usableMachineAdmits && run.stateSince > health.lastFailureOn(machine))
-        }
+        override fun mayTry(run: Run, machine: Machine): Boolean = machine.runs.none { it.task.job == run.task.job } &&
+            (!health.isHeldAgainst(machine) || run.stateSince > health.lastFailureOn(machine))
 
         override fun start(run: Run, machine: Machine) {
             run.bind(machine, state.nextAttempt())
--- a/src/main/kotlin/copperglade/protocol/PeerStatus.kt
+++ b/src/main/kotlin/copperglade/protocol/PeerStatus.kt
@@ -4,8 +4,7 @@
  * The capacity of one machine, as reported by the shard owner.
  *
  * @property usable false where no further task should be started, such as on a machine that the cloud is about to reclaim.
- * @property onTrial whether the machine, which is not usable, may get one task of each job: a task that fits on no usable machine now,
- *   or, if the machine is not [worthKeeping], a task that no usable machine admits.
+ * @property onTrial whether the machine, which is not usable, may get one task of each job that fits on no usable machine.
  * @property worthKeeping false where the machine should be replaced.
  * @property idleMillis the time since the last task left the machine; 0 while the machine has tasks.
  * @property preemptible by priority, the capacity that stopping the tasks of that priority would free.
--- a/src/main/kotlin/copperglade/scheduling/MachineCapacity.kt
+++ b/src/main/kotlin/copperglade/scheduling/MachineCapacity.kt
@@ -16,9 +16,6 @@
     /** Whether the machine may get one task of each job only, see [MachineAvailability.onTrial]. */
     val isOnTrial: Boolean get() = machine.onTrial
 
-    /** Whether the machine may get only tasks that no usable machine admits. */
-    val isLastResort: Boolean get() = machine.onTrial && !machine.worthKeeping
-
     /** Resources not used by any task; negative while preempted tasks still run. */
     var free = free
         private set
--- a/src/main/kotlin/copperglade/scheduling/MachineSelector.kt
+++ b/src/main/kotlin/copperglade/scheduling/MachineSelector.kt
@@ -96,10 +96,11 @@
         val spec = job.spec
         val preferredShards = preferredShards(job, round)
         val scored = ArrayList<ScoredMachine>()
-        for (capacity in eligibleMachines(spec, zones, round)) {
+        for (capacity in round.machines) {
+            if (capacity.isReserved) continue
             val fits = spec.request.fitsIn(capacity.free)
             val preempts = !job.job.failing && !capacity.isOnTrial && capacity.fitsWithPreemption(spec)
-            if (!fits && !preempts) continue
+            if ((!fits && !preempts) || !isAllowed(spec, zones, capacity)) continue
             val shardCost = if (capacity.shard in preferredShards) 0.0 else FURTHER_SHARD_COST_SECONDS
             if (fits) scored += ScoredMachine(capacity, preempts = false, cost(spec, capacity, preempts = false) + shardCost)
             if (preempts) scored += ScoredMachine(capacity, preempts = true, cost(spec, capacity, preempts = true) + shardCost)
@@ -113,18 +114,6 @@
         return spec.allows(machine.type, machine.zone, machine.spot) && zones.allows(machine.zone)
     }
 
-    /** Returns the machines that [spec] allows, without those of last resort if a usable machine admits its tasks. */
-    private fun eligibleMachines(spec: JobSpec, zones: ZoneConstraint, round: RoundCapacity): List<MachineCapacity> {
-        val allowed = round.machines.filter { !it.isReserved && isAllowed(spec, zones, it) }
-        if (allowed.none { it.isLastResort }) return allowed
-        val usableMachineAdmits = round.machines.any { !it.isOnTrial && admits(spec, zones, it) }
-        return allowed.filter { !(it.isLastResort && usableMachineAdmits) }
-    }
-
-    /** Returns whether the machine could take a task of [spec] if it were empty. */
-    private fun admits(spec: JobSpec, zones: ZoneConstraint, capacity: MachineCapacity): Boolean =
-        isAllowed(spec, zones, capacity) && types[capacity.machine.type]?.let { spec.request.fitsIn(it.capacity) } ?: false
-
     /** Returns the shards that the job should stay in: the fewer shards a job uses, the fewer records are written for it. */
     private fun preferredShards(job: SchedulableJob, round: RoundCapacity): Set<ShardName> {
         if (job.assigned.isNotEmpty()) return job.assigned.mapTo(HashSet()) { it.shard }
